Treat an answer with a line that is no header as unreadable

A host's answer whose head held the line "no colon here" was passed on as served. Netty's reading of responses ends a header's name at the first blank and so took the line for a header without a value.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -15,11 +15,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -241,7 +241,8 @@
             @Override
             protected void initChannel(SocketChannel ch) {
                 c.channel = ch;
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ClientServer.MAX_BODY), c);
+                ch.pipeline().addLast(new StrictResponseDecoder(), new HttpRequestEncoder(),
+                        new HttpObjectAggregator(ClientServer.MAX_BODY), c);
             }
         }).connect(pool.address);
         connecting.addListener(f -> {
--- /dev/null
+++ b/src/main/java/deckfall/net/StrictResponseDecoder.java
@@ -0,0 +1,18 @@
+package deckfall.net;
+
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+
+/**
+ * Reads a host's answers, and calls one with a header line that is no header unreadable. Netty's own reading of
+ * responses ends a name at the first blank, so a line without a colon passes there as a header without a value.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') { // there is a byte: the name ends before a colon or a blank
+            throw new IllegalArgumentException("no colon after a header's name");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+}
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -207,6 +207,21 @@
         assertEquals(2, asked.get());
     }
 
+    /** A line that is no header leaves in doubt what the rest of the answer is. */
+    @Test
+    void anAnswerWithALineThatIsNoHeaderIsNeverServed() throws Exception {
+        Deque<String> lines = new ArrayDeque<>(List.of("no colon here", "no", "X-Pad : 1"));
+        Server host = host((m, s) -> {
+            String line = lines.poll();
+            s.getOutputStream().write(line == null ? ok("for " + m.header("X-Trace-Id"))
+                    : bytes("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nfake"));
+        });
+        Client c = client(nodeBefore(host));
+        assertEquals(502, c.send(order("o", "b")).receive().status()); // each of its three attempts may have run
+        assertEquals("for v", c.send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(4, host.asked.size());
+    }
+
     @Test
     void anAttemptEndsWithItsClient() throws Exception {
         Server host = host((m, s) -> { });
