End an exchange only when all that came with its answer has been read

A connection went back to the idle ones as soon as an answer was whole, and the module then often sent the next request on it at once. A second copy of the answer, read from the same segment, was served as that request's answer; left-over bytes failed it as a reset.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -241,7 +241,7 @@
             @Override
             protected void initChannel(SocketChannel ch) {
                 c.channel = ch;
-                ch.pipeline().addLast(new StrictResponseDecoder(), new HttpRequestEncoder(),
+                ch.pipeline().addLast(c.decoder, new HttpRequestEncoder(),
                         new HttpObjectAggregator(ClientServer.MAX_BODY), c);
             }
         }).connect(pool.address);
@@ -261,8 +261,11 @@
     /** One connection to a host. */
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final Pool pool;
+        private final StrictResponseDecoder decoder = new StrictResponseDecoder();
         private SocketChannel channel;
         private Exchange exchange;
+        private FullHttpResponse answer; // whole, until all that came with it has been read
+        private boolean surplus; // more has come than was asked for
         private boolean written; // the request's last byte has left
         private double idleSince;
 
@@ -311,26 +314,44 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             FullHttpResponse response = (FullHttpResponse) message;
             try {
-                if (exchange == null) {
-                    channel.close(); // nobody asked, or nobody waits any more
+                if (exchange == null || answer != null) {
+                    surplus = true; // nobody asked, or nobody waits any more
+                    channel.close();
                 } else if (response.decoderResult().isFailure() || !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response)) {
                     // An answer that the end of the connection bounds can't be told from a broken one.
                     lost();
                     channel.close();
                 } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                    boolean reusable = written && HttpUtil.isKeepAlive(response) && !pool.closed;
-                    Exchange x = exchange;
-                    exchange = null;
-                    x.connection = null;
-                    if (reusable) {
-                        idleSince = node.clock.now();
-                        pool.idle.addLast(this);
-                    } else {
-                        channel.close();
-                    }
-                    x.ended(outcome(response), response);
+                    answer = response.retain();
+                }
+            } finally {
+                response.release();
+            }
+        }
+
+        /**
+         * An answer ends its exchange only here: what came behind it, a second copy or a longer body than it told,
+         * would be read as the answer to whatever is asked next on this connection.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            FullHttpResponse response = answer;
+            answer = null;
+            if (response == null) {
+                if (exchange == null && decoder.holdsBytes()) {
+                    channel.close();
+                }
+                return;
+            }
+            try {
+                if (written && !surplus && !decoder.holdsBytes() && !pool.closed && HttpUtil.isKeepAlive(response)) {
+                    idleSince = node.clock.now();
+                    pool.idle.addLast(this);
+                } else {
+                    channel.close();
                 }
+                end(outcome(response), response);
             } finally {
                 response.release();
             }
--- a/src/main/java/deckfall/net/StrictResponseDecoder.java
+++ b/src/main/java/deckfall/net/StrictResponseDecoder.java
@@ -15,4 +15,9 @@
         }
         return super.splitHeaderName(line, start, length);
     }
+
+    /** True where bytes have come that are no whole message yet. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
 }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -28,6 +28,7 @@
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import io.netty.buffer.PooledByteBufAllocator;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.DatagramPacket;
@@ -35,6 +36,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -222,6 +224,34 @@
         assertEquals(4, host.asked.size());
     }
 
+    /** Requests wait for the bound, so that one goes out on the very connection that an answer has just freed. */
+    @Test
+    void whatComesBehindAnAnswerReachesNoOtherRequest() throws Exception {
+        AtomicInteger answered = new AtomicInteger();
+        Server host = host((m, s) -> {
+            String id = m.header("X-Trace-Id");
+            byte[] good = ok("for " + id);
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.write(good);
+            switch (answered.getAndIncrement() % 4) {
+                case 0 -> all.write(good);
+                case 1 -> all.write(bytes("HTTP/1.1 200 OK\r\nContent-Le"));
+                case 2 -> all.write(bytes("left over"));
+                default -> { }
+            }
+            s.getOutputStream().write(all.toByteArray());
+        });
+        Node node = nodeBefore(host);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            clients.add(client(node).send(order("o" + i, "b")));
+        }
+        for (int i = 0; i < 40; i++) {
+            assertEquals("for o" + i, clients.get(i).receive().text());
+        }
+        assertEquals(40, host.asked.size());
+    }
+
     @Test
     void anAttemptEndsWithItsClient() throws Exception {
         Server host = host((m, s) -> { });
