Go through rehearsed requests before a node is ready

At a third of a core the first seconds went to the interpreter and the compiler: the node took clients in at once and timed out up to a quarter of them. A node now plays requests against its own address until most of their way is compiled, answers /healthz 503 meanwhile, and only then serves.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -172,7 +172,7 @@
             keepAlive = HttpUtil.isKeepAlive(request);
             if (request.uri().equals(READY)) {
                 request.release();
-                answer(node.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                answer(node.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
                 return;
             }
             String id = request.headers().get(Names.ID);
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -130,7 +130,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!failing) { // one line for a spell of failures, however often it is asked
+            if (!failing && !node.rehearsing()) { // one line for a spell of failures, however often it is asked
                 Node.log("discovery: " + cause.getMessage());
             }
             failing = true;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -60,6 +60,7 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean telling;
     private boolean draining;
+    private boolean rehearsing;
     private boolean over; // the drain's time is up: nothing more is sent
     private long repeats;
 
@@ -81,8 +82,11 @@
     public static void main(String configFile) {
         plainLogs();
         try {
-            Node node = new Node(NodeConfig.read(configFile));
+            NodeConfig config = NodeConfig.read(configFile);
+            int rehearsed = Rehearsal.warm(config);
+            Node node = new Node(config);
             node.start();
+            log("serving on " + config.listen() + " after " + rehearsed + " rehearsed requests");
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
         } catch (NodeConfig.BadConfig | IOException e) {
             System.err.println("deckfall: " + e.getMessage());
@@ -168,6 +172,20 @@
         return draining;
     }
 
+    /** From here on this node is no gateway to clients. */
+    void rehearse() {
+        rehearsing = true;
+    }
+
+    boolean rehearsing() {
+        return rehearsing;
+    }
+
+    /** Whether clients may be let in. */
+    boolean ready() {
+        return !draining && !rehearsing;
+    }
+
     /** Takes a request whole from its client; the entry owns the message from here on. */
     void taken(Request r, FullHttpRequest message, ClientServer.Connection client) {
         String id = r.id();
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import deckfall.Gateway.Settings;
 import deckfall.wire.Fields;
 import deckfall.wire.SettingsReader;
@@ -75,6 +77,16 @@
                 (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
     }
 
+    /** The same settings for a node that is its own discovery and only host. */
+    NodeConfig rehearsal() {
+        ObjectNode self = JsonNodeFactory.instance.objectNode().put("id", "self").put("state", "ready")
+                .put("addr", listen.getAddress().getHostAddress() + ':' + listen.getPort());
+        JsonNode list = JsonNodeFactory.instance.objectNode().put("version", 1).put("full", true)
+                .set(Discovery.LIST, JsonNodeFactory.instance.arrayNode().add(self));
+        return new NodeConfig(listen, listen, null, List.of(), null, sockets, list, settings, connectTimeoutMs, idleMs,
+                maxOpen);
+    }
+
     /** Nested settings under the names that the simulator's wire gives them. */
     private static void flatten(String path, JsonNode node, Map<String, String> pairs) {
         String below = path.isEmpty() ? "" : path + ".";
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -1,19 +1,26 @@
 package deckfall.net;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Gateway.Effect;
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Settings;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 /**
- * One short life of a node that is its own host, peer and discovery, so that each part runs once. The build keeps
- * the classes that it loads in an archive, from which a restarted node starts in half the time.
+ * One short life of a node that is its own host, peer and discovery, so that each part runs. The build keeps the
+ * classes that it loads in an archive, from which a restarted node starts in half the time; a node goes through it
+ * once more before it serves, so that its first clients find the code compiled.
  */
 public final class Rehearsal {
-    private static final int ENOUGH = 64; // bytes that hold a status line
     private static final int PATIENCE_MS = 10_000;
+    private static final int WARM_REQUESTS = 400; // most methods on a request's way are compiled by then
+    private static final long WARM_MS = 3000; // and no longer: a restarted gateway is missed meanwhile
+    private static final int LINE = 512; // bytes that hold an answer's head
     private static final String CONFIG = """
             {"name": "rehearsal", "listen": "%1$s", "discovery": "%1$s", "seed": "1", "peer_listen": "%1$s",
              "peers": ["%1$s", "%1$s"], "known": {"version": 1, "full": true, "servers": [{"id": "self",
@@ -22,16 +29,18 @@
              "settings": {"ordinal": 0, "balancers": 2, "az": "a", "limits": {"max_attempts": 3, "cancel": true,
                "peer_messages": true, "retry_after": true, "max_retry_after_ms": 500},
                "specifics": {"max_units": 4, "mail_per_s": 40}, "classes": [{"name": "view",
-               "effect": "repeatable", "goal_time_ms": 300, "hard_limit_ms": 600}],
+               "effect": "repeatable", "goal_time_ms": 300, "hard_limit_ms": 600}, {"name": "order",
+               "effect": "once", "goal_time_ms": 300, "hard_limit_ms": 600}],
                "plans": [{"name": "p", "units_per_s": 10, "depth": 10, "cap_rate": 20, "never_over_depth": 20}]}}
             """;
-    private static final String REQUEST = "GET %s HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Plan: p\r\n"
-            + "X-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: 600\r\nX-Quota: units=1,spread=%d,first=0\r\n"
-            + "Connection: close\r\n\r\n";
+    private static final String REQUEST = "%s /%s/%d HTTP/1.1\r\nHost: h\r\nX-Trace-Id: rehearsal-%d\r\nX-Plan: %s\r\n"
+            + "X-Customer: %016x\r\nX-Expires-In-Ms: 2000\r\nX-Quota: units=1,spread=%d,first=0\r\n"
+            + "Idempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s";
+    private static final String BODY = "a body of some length";
 
     private Rehearsal() { }
 
-    /** Returns when all has been gone through. */
+    /** For the build: returns when all has been gone through. */
     public static void run() throws IOException {
         Node.plainLogs();
         int port;
@@ -40,24 +49,64 @@
         }
         InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         String address = at.getAddress().getHostAddress() + ':' + port;
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address))));
+        play(NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address))));
+    }
+
+    /**
+     * Before a node serves: its first requests would otherwise run in the interpreter and compete with the compiler
+     * for a part of one core. All stays between the node and its own address, and no client is let in yet.
+     */
+    static int warm(NodeConfig config) {
+        try {
+            return play(config.rehearsal());
+        } catch (IOException e) {
+            Node.log("not warmed up: " + e.getMessage()); // slower at first, but it serves
+            return 0;
+        }
+    }
+
+    /** How many requests were answered. */
+    private static int play(NodeConfig config) throws IOException {
+        int asked = 0;
+        Node node = new Node(config);
+        node.rehearse();
         try {
             node.start();
-            ask(at, "/healthz", "0", 1);
-            ask(at, "/view/alone", "1", 1);
-            ask(at, "/view/shared", "2", 2);
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WARM_MS);
+            try (Socket socket = new Socket(config.listen().getAddress(), config.listen().getPort())) {
+                socket.setSoTimeout(PATIENCE_MS);
+                socket.setTcpNoDelay(true);
+                for (; asked < WARM_REQUESTS && System.nanoTime() < end; asked++) {
+                    ask(socket, request(config.settings(), asked));
+                }
+            }
         } finally {
             node.stop(); // or a build would never end
         }
+        return asked;
+    }
+
+    /** Each class and plan in turn, by customers of which some ask for more than their quota. */
+    private static String request(Settings settings, int i) {
+        RequestClass c = settings.classes().get(i % settings.classes().size());
+        boolean safe = c.effect() == Effect.REPEATABLE;
+        String body = safe ? "" : BODY;
+        return REQUEST.formatted(safe ? "GET" : "POST", c.name(), i, i,
+                settings.plans().get(i / 2 % settings.plans().size()).name(), i % 64, 1 + i % settings.gateways(),
+                body.length(), body);
     }
 
-    private static void ask(InetSocketAddress at, String path, String id, int spread) throws IOException {
-        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
-            socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write(REQUEST.formatted(path, id, spread).getBytes(StandardCharsets.US_ASCII));
-            if (socket.getInputStream().readNBytes(ENOUGH).length == 0) {
-                throw new IOException("no answer to " + path);
+    /** Every answer to a rehearsal is a head alone: its host is the node itself, which refuses what it is sent. */
+    private static void ask(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        byte[] head = new byte[LINE];
+        int length = 0;
+        while (length < 4 || head[length - 1] != '\n' || head[length - 3] != '\n') {
+            int read = length < LINE ? socket.getInputStream().read(head, length, LINE - length) : -1;
+            if (read < 0) {
+                throw new IOException("no answer to a rehearsal");
             }
+            length += read;
         }
     }
 }
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -91,6 +91,18 @@
         awaitReady();
     }
 
+    @Test
+    void itHasRehearsedOnceItIsReady() throws Exception {
+        startServing();
+        Path log = dir.resolve("log");
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (!Files.readString(log).contains("rehearsed")) {
+            assertTrue(System.nanoTime() < end, "no line on it");
+            Thread.sleep(20);
+        }
+        assertTrue(Files.readString(log).matches("(?s).*after [1-9]\\d* rehearsed requests.*"), Files.readString(log));
+    }
+
     @Test
     void sigtermEndsItInOrder() throws Exception {
         startServing();
--- /dev/null
+++ b/src/test/java/deckfall/net/RehearsalTest.java
@@ -0,0 +1,58 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a node goes through by itself before it serves. */
+class RehearsalTest {
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private static NodeConfig config(String text) throws Exception {
+        return NodeConfig.of(new ObjectMapper().readTree(text));
+    }
+
+    /** A request that no client sent must reach no host, and the address must be free for the node itself. */
+    @Test
+    void itPlaysRequestsThatReachNobodyElse() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        try (Server host = new Server((m, s) -> s.getOutputStream().write(Sockets.ok("")));
+                Registry registry = new Registry(Sockets.list(1, true,
+                        Sockets.entry("h0", host.address(), "ready")))) {
+            String text = Sockets.config(registry.server.address(), "127.0.0.1:0")
+                    .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + port + "\", \"disc");
+            assertTrue(Rehearsal.warm(config(text)) > 0);
+            assertEquals(List.of(), host.asked);
+            assertEquals(List.of(), registry.server.asked);
+            Node node = Sockets.node(text);
+            try (Client c = new Client(node)) {
+                assertEquals(200, c.send(HEALTH).receive().status());
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
+    @Test
+    void aRehearsingNodeLetsNoClientIn() throws Exception {
+        Node node = new Node(config(Sockets.config("127.0.0.1:1", "127.0.0.1:0")));
+        node.rehearse();
+        node.start();
+        try (Client c = new Client(node)) {
+            assertEquals(503, c.send(HEALTH).receive().status());
+        } finally {
+            node.stop();
+        }
+    }
+}
