Take parts from the own use of the period that the meter tells of

A part divided the use of the moment by a total about two seconds old, and did so again on every answer. When a customer's use rose, each gateway of its set saw its own share rise with it, in all to three times the quota, until the next figure cut all of them at once. Parts now set like beside like, once for each figure, averaged alike, and are raised once for each figure.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -17,9 +17,11 @@
     // Admission by parts
     private static final double DEMAND_MS = 2000; // averaging of demand: longer than gaps between requests
     private static final double EVEN_PRIOR = 0.05; // of the rate, added to a set's demand: all have a part
+    private static final double RAISE = 0.1; // of all, by each new figure that leaves room for unmet demand
     private static final double FRESH_MS = 1000; // a keeper's word this old no longer lets in without asking
     private static final double RELAX_MS = 3000; // and from here on the part is the even one
     private static final double LAG_MS = 60; // a told figure's age on arrival: half a gap and the way
+    private static final double METER_LATE_MS = 860; // mean age of a period's figure when it is first told
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Keepers and tells
     private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
@@ -171,13 +173,13 @@
         ask.admitted = true;
         Customer c = ask.customer;
         if (c != null) c.open++;
-        if (c != null) charge(c, ask.request.units(), ask.request.units());
+        if (c != null) charge(now, c, ask.request.units(), ask.request.units());
         if (cls.queue.isEmpty()) cls.turn = Math.max(cls.turn, turn);
         cls.queue.addLast(ask);
         release(now);
         // What would wait beyond its use is refused at once, and what has no time left may not wait (rule 1).
         boolean held = !ask.done && ask.attempts.isEmpty();
-        if (held && now + cls.queue.size() * cls.releaseGap >= giveUpAt(ask)) finish(ask);
+        if (held && now + cls.queue.size() * cls.releaseGap >= giveUpAt(ask)) finish(now, ask);
     }
 
     @Override public void streamStarted(double now, String id, int attempt) {
@@ -198,10 +200,10 @@
         if (a.server.out.isEmpty()) watched.remove(a.server);
         learn(now, ask, a, r);
         if (r.closed()) {
-            close(ask);
+            close(now, ask);
         } else if (!ask.done && !ask.anyOut()) {
             if (mayTryAgain(now, ask) && r.outcome() != Outcome.MOOT) ask.cls.queue.addFirst(ask);
-            else finish(ask);
+            else finish(now, ask);
         }
         if (ask.done && !ask.anyOut()) asks.remove(ask.request.id());
         release(now);
@@ -210,7 +212,7 @@
     @Override public void clientLeft(double now, String id) {
         Ask ask = asks.get(id);
         if (ask == null) return;
-        close(ask);
+        close(now, ask);
         for (Attempt a : ask.attempts) {
             if (a.out && set.limits().cancel() && !ask.streaming) act.cancel(id, a.number);
         }
@@ -276,7 +278,6 @@
         double part = part(now, c);
         c.demand *= fade;
         c.others *= fade;
-        c.useRate *= fade;
         c.touchedAt = now;
         c.level = Math.min(p.burst(), c.level + p.rate() * s);
         double hold = Math.max(part * p.burst(), Math.min(p.burst(), set.sharing().maxUnits()));
@@ -354,22 +355,33 @@
     }
 
     /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
-    private void charge(Customer c, double units, double ceilingUnits) {
+    private void charge(double now, Customer c, double units, double ceilingUnits) {
         c.tokens = Math.max(c.tokens - units, -c.plan.burst() / c.spread);
         c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - units));
         c.used += units;
-        c.useRate += units / DEMAND_MS * 1000;
+        c.uses.add(now, units);
         c.unsent += ceilingUnits;
         c.ceiling -= ceilingUnits;
     }
 
+    /**
+     * The part follows the own use in the period that the meter tells of. Use of now over a total of two seconds
+     * ago would grow by itself: each gateway of the set would see its own share rise until the next figure.
+     */
     private void meter(double now, Customer c, int usedPct) {
         if (usedPct <= 0 || set.limits().peers() || c.plan.rate() <= 0) return;
-        double total = (usedPct - 1) / 100.0 * c.plan.rate();
-        double part = total > 0 ? Math.min(1, c.useRate / total) : 1.0 / c.spread;
-        boolean rises = total < c.plan.rate() && c.demand > part * c.plan.rate();
-        c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + EVEN_PRIOR) : part;
         c.meterAt = now;
+        double period = set.sharing().meterPeriodMs();
+        if (usedPct == c.usedPct && now - c.partAt < period) return; // told before: it says nothing new
+        c.usedPct = usedPct;
+        double fade = Math.exp(-Math.max(0, now - c.partAt) / DEMAND_MS);
+        c.partAt = now;
+        c.meterTotal = c.meterTotal * fade + (usedPct - 1) / 100.0 * c.plan.rate() * period / 1000;
+        c.meterOwn = c.meterOwn * fade + c.uses.between(now - METER_LATE_MS - period, now - METER_LATE_MS);
+        double prior = EVEN_PRIOR * c.plan.rate();
+        double part = Math.min(1, (c.meterOwn + prior / c.spread) / (c.meterTotal + prior));
+        boolean rises = usedPct - 1 < 100 && c.demand > part * c.plan.rate();
+        c.meterPart = rises ? Math.min(1, Math.max(part, c.meterPart) + RAISE) : part;
     }
 
     // ---- questions to keepers
@@ -398,7 +410,7 @@
     private void decide(double now, Ask ask, boolean in) {
         if (in) letIn(now, ask);
         if (in) return;
-        close(ask);
+        close(now, ask);
         act.refuse(ask.request.id(), retryAfter(ask.customer, ask.request.units()));
     }
 
@@ -651,23 +663,23 @@
         for (ClassState c : classes.values()) {
             for (Ask ask : c.queue.stream().filter(a -> now >= giveUpAt(a)).toList()) {
                 noteDelay(c, now - ask.arrived, 0);
-                finish(ask); // takes it from the queue
+                finish(now, ask); // takes it from the queue
             }
         }
     }
 
     /** The final answer where none was served: a refusal only where a further try is harmless (rule 2). */
-    private void finish(Ask ask) {
+    private void finish(double now, Ask ask) {
         RequestClass spec = ask.cls.spec;
         boolean harmless = ask.ran() == null || spec.effect() == Effect.REPEATABLE
                 || spec.effect() == Effect.KEYED && spec.scope() == Gateway.Scope.ALL;
-        close(ask);
+        close(now, ask);
         // A place may be had once what is held now has left.
         if (harmless) act.refuse(ask.request.id(), waitTold(ask.cls.queue.size() * ask.cls.releaseGap));
         else act.fail(ask.request.id());
     }
 
-    private void close(Ask ask) {
+    private void close(double now, Ask ask) {
         if (!ask.anyOut()) asks.remove(ask.request.id());
         if (ask.done) return;
         ask.done = true;
@@ -678,7 +690,7 @@
         if (!ask.admitted) return;
         c.open--;
         if (ask.attempts.isEmpty()) { // let in but never sent: the units go back
-            charge(c, -ask.request.units(), -ask.request.units());
+            charge(now, c, -ask.request.units(), -ask.request.units());
         }
     }
 
@@ -895,7 +907,7 @@
                 c.latencyPerUnit += Math.max(0.03, 1.0 / c.samples) * (perUnit - c.latencyPerUnit);
                 noteDelay(c, 0, r.latencyMs());
                 if (ask.customer != null && set.sharing().postPaid() && r.trueUnits() > 0) {
-                    charge(ask.customer, r.trueUnits() - ask.request.units(), 0);
+                    charge(now, ask.customer, r.trueUnits() - ask.request.units(), 0);
                 }
             }
             // No connection: down or full, the host takes nothing from us now; one is enough.
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -109,9 +109,13 @@
         double newsAt = NEVER; // when a keeper last told
         double toldAt = NEVER;
         boolean informed; // as a keeper: knows what was used before its start
+        final Trail uses = new Trail();
+        int usedPct; // as last told by the meter
+        double meterTotal; // what the meter told, and what was used here in the same periods, older ones less
+        double meterOwn;
         double meterPart;
+        double partAt = NEVER; // when the part was last taken from a new figure
         double meterAt = NEVER;
-        double useRate;
         int open;
 
         Customer(long id, int planNumber, Plan plan, int first, int spread, int[] keepers, double now) {
@@ -145,6 +149,39 @@
         }
     }
 
+    /** What was used in the last few seconds, by slots of time. */
+    static final class Trail {
+        private static final double SLOT_MS = 200;
+        private final double[] slots = new double[16];
+        private long newest = Long.MIN_VALUE;
+
+        private static long slot(double at) {
+            return (long) Math.floor(at / SLOT_MS);
+        }
+
+        private int place(long slot) {
+            return Math.floorMod(slot, slots.length);
+        }
+
+        void add(double now, double units) {
+            long slot = slot(now);
+            for (long s = Math.max(newest + 1, slot - slots.length + 1); s <= slot; s++) {
+                slots[place(s)] = 0;
+            }
+            newest = Math.max(newest, slot);
+            slots[place(newest)] += units;
+        }
+
+        /** The sum from one time to another, to the slot; what is older than the trail is forgotten. */
+        double between(double from, double to) {
+            double sum = 0;
+            for (long s = Math.max(slot(from), newest - slots.length + 1); s < slot(to) && s <= newest; s++) {
+                sum += slots[place(s)];
+            }
+            return Math.max(0, sum);
+        }
+    }
+
     /** How many times slower than usual a host was last taken to be, and when. */
     static final class Health {
         double slow = 1;
