Read the use that a host's answers tell

The node told the module that no answer held a figure of the meter, so every gateway kept the even split of each quota, whatever its share of the traffic. X-Quota-Used is now read; a damaged line beside a good one is passed over.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -40,6 +40,8 @@
     private static final String HOST = "backend.local";
     private static final String NEVER_RAN = "X-Never-Ran";
     private static final String REPORT = "Endpoint-Load-Metrics";
+    private static final String USED = "X-Quota-Used";
+    private static final int USED_MAX = 100_000; // in percent: more is no use that a gateway could act on
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
     private static final long SWEEP_MS = 500;
     private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
@@ -380,6 +382,21 @@
         return turnedAway && "1".equals(response.headers().get(NEVER_RAN)) ? Outcome.FULL : Outcome.ERROR;
     }
 
+    // ---- the meter
+
+    /** One more than the customer's told use in percent; 0 where no value of the answer can be read. */
+    int usedPct(FullHttpResponse response) {
+        int used = 0;
+        for (String value : response.headers().getAll(USED)) {
+            try {
+                used = Math.max(used, 1 + Math.min(USED_MAX, Integer.parseInt(value.trim())));
+            } catch (NumberFormatException e) {
+                // a damaged line beside a good one tells nothing
+            }
+        }
+        return used;
+    }
+
     // ---- load reports
 
     double[] report(FullHttpResponse response) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -259,8 +259,9 @@
         boolean closed = r.closed();
         double took = clock.now() - a.sentAt;
         double[] report = response == null ? NO_REPORT : hosts.report(response);
+        int usedPct = response == null ? 0 : hosts.usedPct(response);
         tell((now, m) -> m.attemptEnded(now,
-                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, 0, 0, report)));
+                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, usedPct, 0, report)));
         forgetIfOver(r);
     }
 
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -44,6 +44,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -459,7 +460,11 @@
     }
 
     /** A module that does only what a test says of a request. */
-    private record Scripted(BiConsumer<Double, Request> script) implements Events {
+    private record Scripted(BiConsumer<Double, Request> script, Consumer<AttemptResult> ends) implements Events {
+        Scripted(BiConsumer<Double, Request> script) {
+            this(script, r -> { });
+        }
+
         @Override
         public void start(double now, Settings settings) { }
 
@@ -475,7 +480,9 @@
         public void streamStarted(double now, String id, int attempt) { }
 
         @Override
-        public void attemptEnded(double now, AttemptResult r) { }
+        public void attemptEnded(double now, AttemptResult r) {
+            ends.accept(r);
+        }
 
         @Override
         public void clientLeft(double now, String id) { }
@@ -493,13 +500,32 @@
         public void counted(double now, String counter, Outcome outcome, double total) { }
     }
 
-    private Node scripted(Function<Actions, Events> module) throws IOException {
-        registry = kept(new Registry(list(1, true)));
+    private Node scripted(Function<Actions, Events> module, String... entries) throws IOException {
+        registry = kept(new Registry(list(1, true, entries)));
         Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"), module);
         ends.push(node::stop);
         return node;
     }
 
+    /** The meter's word is the module's only one on the other gateways' use; 0 means that there was none. */
+    @Test
+    void theModuleIsToldTheUseThatAnAnswerTells() throws Exception {
+        Deque<String> told = new ArrayDeque<>(List.of("", "X-Quota-Used: 0\r\n", "X-Quota-Used: 85\r\n",
+                "X-Quota-Used: TEXT ?\r\nX-Quota-Used: 31\r\n", "X-Quota-Used: %%%\r\n", "X-Quota-Used: -7\r\n"));
+        Server host = host((m, s) -> s.getOutputStream()
+                .write(bytes("HTTP/1.1 200 OK\r\n" + told.poll() + "Content-Length: 0\r\n\r\n")));
+        List<Integer> heard = new CopyOnWriteArrayList<>();
+        Node node = scripted(act -> new Scripted((now, r) -> act.send(r.id(), "h0", 0),
+                r -> heard.add(r.usedPct())), entry("h0", host.address(), "ready"));
+        awaitWatches(1);
+        Client c = client(node);
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().status());
+        }
+        node.loop.submit(() -> { }).sync(); // the client's answer goes out before the module is told
+        assertEquals(List.of(0, 1, 86, 32, 0, 0), heard);
+    }
+
     /** What the module forgets or breaks on is failed, not refused: it may have run (rules 1 and 2). */
     @Test
     void aModuleThatThrowsStillCostsNoAnswer() throws Exception {
