--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -365,8 +365,8 @@
     }
 
     /**
-     * The part follows the own use in the period that the meter tells of. Use of now over a total of two seconds
-     * ago would grow by itself: each gateway of the set would see its own share rise until the next figure.
+     * The part follows the own use in the period that the meter tells of. Use of now over a total of long ago
+     * would grow by itself: each gateway of the set would see its own share rise until the next figure.
      */
     private void meter(double now, Customer c, int usedPct) {
         if (usedPct <= 0 || set.limits().peers() || c.plan.rate() <= 0) return;
