Hear SIGHUP and follow discovery to its new address

Nothing handled the signal by which the platform says that it has replaced the configuration, so it ended the process. The configuration is now read again, off the event loop, and the watch goes on at the new address with the whole list; a file that can't be read leaves all as it was.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -46,6 +46,7 @@
 
     private final Node node;
     private final ObjectMapper json = new ObjectMapper();
+    private InetSocketAddress address;
     private Channel channel;
     private Future<?> timeout;
     private boolean failing;
@@ -53,6 +54,7 @@
 
     Discovery(Node node) {
         this.node = node;
+        this.address = node.config.discovery();
     }
 
     void start() {
@@ -69,13 +71,25 @@
                         ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Calls());
                     }
                 });
-        b.connect(node.config.discovery()).addListener(f -> {
+        b.connect(address).addListener(f -> {
             if (!f.isSuccess()) {
                 again();
             }
         });
     }
 
+    /** Asks at another address from now on, for the whole list first. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        version = -1;
+        if (channel != null) {
+            channel.close(); // its end leads to the new address
+        }
+    }
+
     private void again() {
         node.loop.schedule(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
     }
@@ -85,6 +99,9 @@
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
             call();
+            if (!address.equals(channel.remoteAddress())) {
+                channel.close(); // moved while it came up
+            }
         }
 
         private void call() {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -86,6 +86,7 @@
             int rehearsed = Rehearsal.warm(config);
             Node node = new Node(config);
             node.start();
+            Hangup.onSignal(() -> node.reload(configFile));
             log("serving on " + config.listen() + " after " + rehearsed + " rehearsed requests");
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
         } catch (NodeConfig.BadConfig | IOException e) {
@@ -94,6 +95,17 @@
         }
     }
 
+    /** Takes from a replaced configuration what may change while a node serves: where discovery is. */
+    private void reload(String configFile) {
+        try {
+            NodeConfig changed = NodeConfig.read(configFile);
+            log("configuration read again: discovery at " + changed.discovery());
+            loop.execute(() -> discovery.move(changed.discovery()));
+        } catch (NodeConfig.BadConfig e) {
+            log("configuration left as it was: " + e.getMessage());
+        }
+    }
+
     /** Returns once clients are served. */
     void start() throws IOException {
         try {
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -44,14 +45,22 @@
     }
 
     private void startServing() throws Exception {
+        startServing("127.0.0.1:1");
+    }
+
+    private void startServing(String discovery) throws Exception {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        start(Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
-                "127.0.0.1:" + port + "\", \"disc"));
+        start(config(discovery));
         awaitReady();
     }
 
+    private String config(String discovery) {
+        return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
+                "127.0.0.1:" + port + "\", \"disc");
+    }
+
     private void awaitReady() throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
         while (!ready()) {
@@ -94,13 +103,38 @@
     @Test
     void itHasRehearsedOnceItIsReady() throws Exception {
         startServing();
-        Path log = dir.resolve("log");
+        awaitLog("rehearsed");
+        String log = Files.readString(dir.resolve("log"));
+        assertTrue(log.matches("(?s).*after [1-9]\\d* rehearsed requests.*"), log);
+    }
+
+    private void hangup() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private void awaitLog(String part) throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (!Files.readString(log).contains("rehearsed")) {
-            assertTrue(System.nanoTime() < end, "no line on it");
+        while (!Files.readString(dir.resolve("log")).contains(part)) {
+            assertTrue(process.isAlive() && System.nanoTime() < end, "no line with " + part);
             Thread.sleep(20);
         }
-        assertTrue(Files.readString(log).matches("(?s).*after [1-9]\\d* rehearsed requests.*"), Files.readString(log));
+    }
+
+    @Test
+    void sighupMovesItToTheNewDiscovery() throws Exception {
+        try (Registry first = new Registry(Sockets.list(1, true)); Registry second = new Registry(Sockets.list(7, true))) {
+            startServing(first.server.address());
+            awaitLog("rehearsed"); // only after this line is the signal heard
+            Files.writeString(dir.resolve("config.json"), "half a conf");
+            hangup();
+            awaitLog("left as it was");
+            Files.writeString(dir.resolve("config.json"), config(second.server.address()));
+            hangup();
+            Message whole = second.server.next();
+            assertEquals("GET /v1/servers HTTP/1.1", whole.start());
+            assertTrue(second.server.next().start().contains("from=7&"));
+            awaitReady();
+        }
     }
 
     @Test
