Tell a peer without a whole request so, and keep clients to a third of the sockets

Silent and half-way peers were left waiting for ever, though each is owed an error or a close within 3 s, and clients could hold 45 in 100 of the descriptors where a third is theirs.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -28,17 +28,20 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Accepts clients, reads their requests, and writes the one answer to each. */
 final class ClientServer {
     static final int MAX_BODY = 64 * 1024;
     private static final int BACKLOG = 512;
     private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
-    private static final double SOCKET_SHARE = 0.45; // of all descriptors; hosts may have as many
+    private static final int SOCKET_SHARE = 3; // clients may hold one descriptor in so many
+    private static final long FIRST_REQUEST_MS = 2500; // a peer that has sent none by then is told so
     private static final double MS_PER_SECOND = 1000;
     private static final int HEX = 16;
     private static final int CUSTOMER_DIGITS = 16;
@@ -58,7 +61,7 @@
         this.node = node;
         node.config.settings().classes().forEach(c -> classes.put(c.name(), c));
         node.config.settings().plans().forEach(p -> plans.put(p.name(), p));
-        maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
+        maxConnections = node.config.sockets() / SOCKET_SHARE;
     }
 
     /** Clients are served once this is done. */
@@ -98,6 +101,7 @@
         private final SocketChannel channel;
         private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
         private OpenRequest current;
+        private Future<?> stranger; // until the first whole request
         private boolean busy;
         private boolean keepAlive = true;
         private boolean ended; // the last answer is on its way
@@ -120,12 +124,21 @@
             if (connections.size() > maxConnections) {
                 channel.close();
             }
+            stranger = node.loop.schedule(this::expel, FIRST_REQUEST_MS, TimeUnit.MILLISECONDS);
+        }
+
+        /** Silence, or a request that never becomes whole: whoever it is may be waiting for a word. */
+        private void expel() {
+            keepAlive = false;
+            idle.remove(this);
+            answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             idle.remove(this);
+            stranger.cancel(false);
             waiting.forEach(FullHttpRequest::release);
             waiting.clear();
             ended = true;
@@ -143,6 +156,7 @@
                 request.release();
                 return;
             }
+            stranger.cancel(false);
             waiting.add(request);
             next();
             if (waiting.size() >= PIPELINED) {
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -301,6 +301,43 @@
         assertEquals(List.of(), host.asked);
     }
 
+    /** A peer that says nothing, or never the end of it, is owed a word; one that has asked may stay silent. */
+    @Test
+    void aPeerThatSendsNoWholeRequestIsToldSo() throws Exception {
+        Node node = nodeBefore(host(NodeTest::echo));
+        Client known = client(node);
+        assertEquals(200, known.send(view("v", Sockets.PATIENCE_MS)).receive().status());
+        for (String part : List.of("", "GET /vi", "POST /order/x HTTP/1.1\r\nContent-Length: 5\r\n\r\nab")) {
+            Client c = client(node).send(part);
+            assertEquals(408, c.receive().status());
+            assertNull(c.receive());
+        }
+        assertEquals(200, known.send(view("w", Sockets.PATIENCE_MS)).receive().status());
+    }
+
+    @Test
+    void clientsHoldNoMoreThanAThirdOfTheDescriptors() throws Exception {
+        CountDownLatch crowded = new CountDownLatch(1);
+        Server host = host((m, s) -> {
+            crowded.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        });
+        registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"sockets\": 1024", "\"sockets\": 12"));
+        ends.push(node::stop);
+        List<Client> held = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            held.add(client(node).send(view("v" + i, Sockets.PATIENCE_MS)));
+            assertNotNull(host.next());
+        }
+        assertNull(client(node).receive()); // turned away: every other connection has a request open
+        crowded.countDown();
+        for (int i = 0; i < 4; i++) {
+            assertEquals("for v" + i + " ", held.get(i).receive().text());
+        }
+    }
+
     @Test
     void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
         Client c = client(nodeBefore(host(NodeTest::echo)));
