Learn from early ends how long a host keeps an idle connection

Each host's pool now trusts a connection for less time than one that was found ended had been idle, and comes back to the full time slowly.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -43,6 +43,10 @@
     private static final String USED = "X-Quota-Used";
     private static final int USED_MAX = 100_000; // in percent: more is no use that a gateway could act on
     private static final double IDLE_SHARE = 0.6; // of the time after which a host may close an idle connection
+    private static final double TRUST_MIN_MS = 50; // so fresh a connection that its end says nothing of idleness
+    private static final double TRUST_CUT = 0.8; // of the idle time at which a connection was found ended
+    private static final double TRUST_GROWTH = 1.02; // a sweep, so that a spell of early closes passes
+    private static final double PROMPT_MS = 50; // a reset so soon after a request: the host had closed before it
     private static final long SWEEP_MS = 500;
     private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
     private static final double PROBE_TIMEOUT_MS = 250;
@@ -84,11 +88,26 @@
         final InetSocketAddress address;
         final double startedMs;
         final ArrayDeque<Connection> idle = new ArrayDeque<>(); // the last used at the end
+        private final double mostIdleMs;
+        double trustMs; // idle for longer than this, a connection is not used again
         boolean closed;
 
-        Pool(InetSocketAddress address, double startedMs) {
+        Pool(InetSocketAddress address, double startedMs, double mostIdleMs) {
             this.address = address;
             this.startedMs = startedMs;
+            this.mostIdleMs = mostIdleMs;
+            this.trustMs = mostIdleMs;
+        }
+
+        /** The settings tell only the latest time at which a host closes an idle connection; this one was earlier. */
+        void closedEarly(double idleMs) {
+            if (idleMs > TRUST_MIN_MS) {
+                trustMs = Math.max(TRUST_MIN_MS, Math.min(trustMs, idleMs * TRUST_CUT));
+            }
+        }
+
+        void trustAgain() {
+            trustMs = Math.min(mostIdleMs, trustMs * TRUST_GROWTH);
         }
     }
 
@@ -105,7 +124,7 @@
                 pools.remove(id);
                 close(old);
             } else if (!same) {
-                pools.put(id, new Pool(e.address(), e.host().startedMs()));
+                pools.put(id, new Pool(e.address(), e.host().startedMs(), node.config.idleMs() * IDLE_SHARE));
                 close(old);
             }
         }
@@ -123,14 +142,17 @@
     private void close(Pool pool) {
         if (pool != null) {
             pool.closed = true;
-            List.copyOf(pool.idle).forEach(c -> c.channel.close());
+            List<Connection> ended = List.copyOf(pool.idle);
+            pool.idle.clear();
+            ended.forEach(c -> c.channel.close());
         }
     }
 
     private void closeIdle() {
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
-        double before = node.clock.now() - node.config.idleMs() * IDLE_SHARE;
         for (Pool pool : pools.values()) {
+            pool.trustAgain();
+            double before = node.clock.now() - pool.trustMs;
             while (!pool.idle.isEmpty() && pool.idle.peekFirst().idleSince < before) {
                 pool.idle.pollFirst().channel.close();
             }
@@ -218,10 +240,13 @@
             return;
         }
         for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            if (c.channel.isActive()) {
+            double idleMs = node.clock.now() - c.idleSince;
+            if (c.channel.isActive() && idleMs <= pool.trustMs) {
+                c.idleBeforeMs = idleMs;
                 c.write(x, message.build());
                 return;
             }
+            c.channel.close();
         }
         if (!room()) {
             x.ended(Outcome.CONNECT_FAILED, null);
@@ -270,6 +295,8 @@
         private boolean surplus; // more has come than was asked for
         private boolean written; // the request's last byte has left
         private double idleSince;
+        private double idleBeforeMs; // before what is asked now
+        private double wroteAt;
 
         Connection(Pool pool) {
             this.pool = pool;
@@ -279,6 +306,7 @@
             exchange = x;
             x.connection = this;
             written = false;
+            wroteAt = node.clock.now();
             channel.writeAndFlush(message).addListener(f -> {
                 if (exchange != x) {
                     return;
@@ -293,6 +321,9 @@
 
         /** What was asked here ended without an answer. It may have run only once its last byte had left. */
         private void lost() {
+            if (exchange != null && node.clock.now() - wroteAt < PROMPT_MS) {
+                pool.closedEarly(idleBeforeMs);
+            }
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
         }
 
@@ -361,7 +392,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            pool.idle.remove(this);
+            if (pool.idle.remove(this)) {
+                pool.closedEarly(node.clock.now() - idleSince); // by the host: what is closed here left the pool first
+            }
             lost();
         }
 
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -39,6 +39,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -253,6 +255,33 @@
         assertEquals(40, host.asked.size());
     }
 
+    /** The settings only say by when a host closes an idle connection; on many an idle one it does so far earlier. */
+    @Test
+    void aConnectionIdleForAsLongAsOneThatWasResetIsNotUsedAgain() throws Exception {
+        List<Long> idleNanos = new CopyOnWriteArrayList<>(); // before each request that was reset
+        Map<java.net.Socket, Long> answeredAt = new ConcurrentHashMap<>();
+        Server host = host((m, s) -> {
+            long idle = System.nanoTime() - answeredAt.getOrDefault(s, System.nanoTime());
+            if (idle > TimeUnit.MILLISECONDS.toNanos(200)) {
+                idleNanos.add(idle);
+                s.setSoLinger(true, 0);
+                s.close();
+                return;
+            }
+            answeredAt.put(s, System.nanoTime());
+            echo(m, s);
+        });
+        Client c = client(nodeBefore(host));
+        for (int i = 0; i < 5; i++) {
+            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            TimeUnit.MILLISECONDS.sleep(300); // the idle time itself: more of it changes nothing
+        }
+        assertTrue(idleNanos.size() > 0);
+        for (int i = 1; i < idleNanos.size(); i++) {
+            assertTrue(idleNanos.get(i) < 0.95 * idleNanos.get(i - 1), "reset after " + idleNanos);
+        }
+    }
+
     @Test
     void anAttemptEndsWithItsClient() throws Exception {
         Server host = host((m, s) -> { });
