Tell refused clients when the bucket that refused them will have filled

A refusal for want of units in the own bucket told the time of the whole store, which had them: 20 ms, after which the client was refused again.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -345,13 +345,16 @@
     }
 
     /** When the store will have filled enough; every refusal tells a time to come back. */
-    private double retryAfter(Customer c, double units) {
-        return waitTold(c.plan.rate() > 0 ? 1000 * (units - c.level) / c.plan.rate() : 0);
+    private double retryAfter(double now, Customer c, double units) {
+        if (c.plan.rate() <= 0) return waitTold(0);
+        double store = 1000 * (units - c.level) / c.plan.rate();
+        double bucket = 1000 * (units - c.tokens) / (c.plan.rate() * Math.max(EVEN_PRIOR, part(now, c)));
+        return waitTold(set.limits().peers() ? store : Math.max(store, bucket));
     }
 
     private double waitTold(double ms) {
         double longest = set.limits().maxRetryAfterMs();
-        return set.limits().retryAfter() ? Math.min(longest, Math.max(RETRY_MIN_MS, ms)) : 0;
+        return longest > 0 ? Math.min(longest, Math.max(RETRY_MIN_MS, ms)) : 0;
     }
 
     /** Takes units from the quota's and the ceiling's stores, or gives them back where negative. */
@@ -411,7 +414,7 @@
         if (in) letIn(now, ask);
         if (in) return;
         close(now, ask);
-        act.refuse(ask.request.id(), retryAfter(ask.customer, ask.request.units()));
+        act.refuse(ask.request.id(), retryAfter(now, ask.customer, ask.request.units()));
     }
 
     /** Silence of a peer shows only where an answer was due: then it is passed over for a while. */
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -18,7 +18,6 @@
     private static final double PERIOD_MS = 1000;
     private static final double LATE_MS = 800;
     private static final Plan WIDE = new Plan("wide", 20, 20, 0, 1, 0, 1, 0, 0, 0);
-    private static final Plan CAPPED_OPEN = new Plan("capped-open", 1000, 1000, 2, 1, 0, 1, 0, 0, 0);
 
     private final List<FakeGateway> all = new ArrayList<>();
     private final TreeMap<Integer, Integer> usedIn = new TreeMap<>(); // by number of the metered period
@@ -30,7 +29,7 @@
         for (int i = 0; i < GATEWAYS; i++) {
             Settings s = FakeGateway.settings(i, GATEWAYS);
             all.add(new FakeGateway(0, new Settings(s.seed(), i, GATEWAYS, "a", false, s.classes(),
-                    List.of(WIDE, CAPPED_OPEN), List.of(), new Limits(3, false, true, false, false, true, 500),
+                    List.of(WIDE), List.of(), new Limits(3, false, true, false, false, true, 500),
                     s.rules(), new Sharing(false, 0, PERIOD_MS, false, 1, 0, 0, 0, 0)))
                     .withHosts("a1", "a2", "a3", "a4"));
         }
@@ -90,4 +89,20 @@
         double moved = flood(10, 2) / (10 * WIDE.rate());
         assertTrue(moved >= 0.85 && moved <= 1.1, "sent on " + moved + " of the quota");
     }
+
+    /** A client that comes back when it was told to must find what it was told of. */
+    @Test
+    void aRefusalTellsWhenTheOwnBucketWillHaveFilled() {
+        FakeGateway g = all.get(0);
+        while (g.refused.isEmpty()) {
+            ask(0, WIDE);
+        }
+        String[] words = g.log.get(g.log.size() - 1).split(" ");
+        assertTrue(words[1].equals("refuse") && Double.parseDouble(words[3]) > 0, String.join(" ", words));
+        g.sent.forEach(s -> g.end(s.id(), 0, Outcome.OK, STEP_MS));
+        int before = g.sent.size();
+        g.pass(Double.parseDouble(words[3]));
+        ask(0, WIDE);
+        assertTrue(g.sent.size() > before, "refused again after " + words[3] + " ms");
+    }
 }
