--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -319,9 +319,15 @@
             });
         }
 
+        private String idAsked() {
+            return exchange instanceof Attempt a ? a.owner.traceId : "none";
+        }
+
         /** What was asked here ended without an answer. It may have run only once its last byte had left. */
         private void lost() {
-            if (exchange != null && node.clock.now() - wroteAt < PROMPT_MS) {
+            if (exchange != null && idleBeforeMs > TRUST_MIN_MS && node.clock.now() - wroteAt < PROMPT_MS) {
+                node.tally.note(Tally.Count.CLOSED_EARLY, idAsked(), pool.address.toString(),
+                        "its connection had been idle for " + (long) idleBeforeMs + " ms");
                 pool.closedEarly(idleBeforeMs);
             }
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
@@ -349,10 +355,13 @@
             try {
                 if (exchange == null || answer != null) {
                     surplus = true; // nobody asked, or nobody waits any more
+                    node.tally.add(Tally.Count.SURPLUS);
                     channel.close();
                 } else if (response.decoderResult().isFailure() || !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response)) {
                     // An answer that the end of the connection bounds can't be told from a broken one.
+                    node.tally.note(Tally.Count.UNREADABLE, idAsked(), pool.address.toString(),
+                            String.valueOf(response.decoderResult().cause()));
                     lost();
                     channel.close();
                 } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -50,6 +50,7 @@
     final Clock clock = new Clock();
     final NioEventLoopGroup group = new NioEventLoopGroup(1);
     final EventLoop loop = group.next();
+    final Tally tally = new Tally();
     private final Events module;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -116,6 +117,7 @@
                     hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
                 }
                 discovery.start();
+                loop.scheduleAtFixedRate(this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
                 return clients.start();
             }).sync().getNow().sync();
         } catch (InterruptedException e) {
@@ -154,6 +156,13 @@
         System.err.println(line);
     }
 
+    private void logTally() {
+        String line = tally.take();
+        if (line != null && !rehearsing) {
+            log(line);
+        }
+    }
+
     // ---- telling the module
 
     /**
@@ -208,6 +217,7 @@
                 r.customer(), r.plan(), r.units(), r.first(), r.spread());
         OpenRequest entry = new OpenRequest(told, message, r.id(), client);
         open.put(id, entry);
+        tally.add(Tally.Count.TAKEN);
         client.holds(entry);
         double left = r.deadlineMs() - clock.now();
         entry.guard = loop.schedule(() -> deadline(entry), micros(left), TimeUnit.MICROSECONDS);
@@ -250,6 +260,7 @@
             return;
         }
         r.close();
+        tally.add(Tally.Count.CLIENT_LEFT);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
         forgetIfOver(r);
     }
@@ -260,11 +271,13 @@
             return;
         }
         a.ended = true;
+        tally.attempt(outcome);
         OpenRequest r = a.owner;
         r.out--;
         if (outcome == Outcome.OK) {
             ClientServer.Connection client = r.close();
             if (client != null) {
+                tally.add(Tally.Count.SERVED);
                 client.serve(response);
             }
         }
@@ -351,6 +364,7 @@
     private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
         ClientServer.Connection client = r == null ? null : r.close();
         if (client != null) {
+            tally.add(status.equals(HttpResponseStatus.TOO_MANY_REQUESTS) ? Tally.Count.REFUSED : Tally.Count.FAILED);
             client.answer(status, retryAfterMs);
         }
         if (r != null) {
--- /dev/null
+++ b/src/main/java/deckfall/net/Tally.java
@@ -0,0 +1,46 @@
+package deckfall.net;
+
+import deckfall.Gateway.Outcome;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.StringJoiner;
+
+/** What a node did in a period, for one line of its log; and lines on single requests, a few a period at most. */
+final class Tally {
+    static final long PERIOD_MS = 10_000;
+    private static final int LINES = 5;
+
+    /** Something counted beside the ends of attempts. */
+    enum Count { TAKEN, SERVED, REFUSED, FAILED, CLIENT_LEFT, UNREADABLE, SURPLUS, CLOSED_EARLY }
+
+    private final Map<Count, Long> counts = new EnumMap<>(Count.class);
+    private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
+    private int lines;
+
+    void add(Count what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    void attempt(Outcome outcome) {
+        attempts.merge(outcome, 1L, Long::sum);
+    }
+
+    /** Counts it and, while the period has lines left, tells of which request. */
+    void note(Count what, String id, String host, String why) {
+        add(what);
+        if (lines++ < LINES) {
+            Node.log(what + " request " + id + " host " + host + ": " + why);
+        }
+    }
+
+    /** The period's line, or null where nothing happened; the next period starts from nothing. */
+    String take() {
+        StringJoiner line = new StringJoiner(" ", "tally: ", "").setEmptyValue("");
+        counts.forEach((what, count) -> line.add(what + "=" + count));
+        attempts.forEach((outcome, count) -> line.add("attempts_" + outcome + "=" + count));
+        counts.clear();
+        attempts.clear();
+        lines = 0;
+        return line.length() == 0 ? null : line.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/net/TallyTest.java
@@ -0,0 +1,22 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import deckfall.Gateway.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** The line that a node's log gets for each period. */
+class TallyTest {
+    @Test
+    void aPeriodIsOneLineAndTheNextStartsFromNothing() {
+        Tally tally = new Tally();
+        assertNull(tally.take());
+        tally.add(Tally.Count.TAKEN);
+        tally.add(Tally.Count.TAKEN);
+        tally.note(Tally.Count.UNREADABLE, "id", "host", "why");
+        tally.attempt(Outcome.RESET);
+        assertEquals("tally: TAKEN=2 UNREADABLE=1 attempts_RESET=1", tally.take());
+        assertNull(tally.take());
+    }
+}
