--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -129,6 +129,9 @@
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
             version = list.path("version").asLong(-1);
+            if (whole && !node.rehearsing()) { // once a start or a move: without this line the old list is still in use
+                Node.log("discovery: whole list of " + entries.size() + ", version " + version + ", from " + address);
+            }
             if (HttpUtil.isKeepAlive(response)) {
                 call(); // the next call first, so that no change falls between
             } else {
