Let clients in only once the present list of hosts is known

Traced through the gateways' logs, with a new line for each change of the list: no gateway in service heard of a drain later than 0.2 s after the others. The first broken send falls together with the first restarted gateways:

n0: 17.249 Picked up JAVA_TOOL_OPTIONS n0: 19.625 serving on /127.10.0.6:5000 after 18 rehearsed requests n0: 19.708 discovery: whole list of 84, version 6, from /127.12.0.1:8500

Versions 3 and 5, told between 16.83 and 18.46 on the same clock, drain 18 hosts. For 20 to 300 ms each restarted gateway served from the list of its last life (version 2). One gateway alone rarely has a request then; seventy do.

Ruled out: lost watches (all 30 gateways in service log each change within 0.2 s of the first), late changes within the module (it uses no host that is not running), the agent (the whole list it gives is the present one).

At fault: Node.start, which bound the listener in the same turn in which it began to connect to discovery. It now waits for the first list, up to 1 s, as a gateway has to start without discovery too; a rehearsal, whose discovery is the node itself, does not. The test was seen to fail without it (the port was bound when the list was asked for).

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -31,6 +31,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.StringJoiner;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
@@ -39,6 +41,7 @@
     private static final String PATH = "/v1/servers";
     private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
     private static final long PATIENCE_MS = 1000; // beyond what a call may wait
+    private static final long FIRST_LIST_MS = 1000; // a gateway starts without discovery, but not beside it
     private static final long AGAIN_MS = 80; // at most after a first failure: a watch is broken only after 200
     private static final long AGAIN_MOST_MS = 1500; // a fleet that is turned away comes back by and by
     private static final int MAX_LIST = 4 << 20;
@@ -54,6 +57,7 @@
     private Future<?> timeout;
     private boolean failing;
     private long version = -1; // -1: the whole list is still to come
+    private final CountDownLatch listed = new CountDownLatch(1);
 
     Discovery(Node node) {
         this.node = node;
@@ -65,6 +69,16 @@
         connect();
     }
 
+    /**
+     * Waits, on another thread than the loop, until the module knows the present list. The one from before a restart
+     * names hosts that drain by now, and no client is to be sent there.
+     */
+    void awaitList() throws InterruptedException {
+        if (!listed.await(FIRST_LIST_MS, TimeUnit.MILLISECONDS)) {
+            Node.log("discovery: no list yet, serving from the known one");
+        }
+    }
+
     private void connect() {
         Bootstrap b = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -138,6 +152,9 @@
             if (whole && !node.rehearsing()) { // once a start or a move: without this line the old list is still in use
                 Node.log("discovery: whole list of " + entries.size() + ", version " + version + ", from " + address);
             }
+            if (!whole && !entries.isEmpty()) { // when each drain was heard of is asked first when one is not kept
+                Node.log("discovery: version " + version + ", " + changed(entries) + ", at " + (long) node.clock.now());
+            }
             if (HttpUtil.isKeepAlive(response)) {
                 call(); // the next call first, so that no change falls between
             } else {
@@ -146,6 +163,7 @@
             if (whole || !entries.isEmpty()) {
                 node.hostsTold(whole ? ListKind.FULL : ListKind.CHANGES, entries);
             }
+            listed.countDown();
         }
 
         @Override
@@ -164,6 +182,12 @@
         }
     }
 
+    private static String changed(List<Entry> entries) {
+        StringJoiner text = new StringJoiner(" ");
+        entries.forEach(e -> text.add(e.host().id() + "=" + e.host().state()));
+        return text.toString();
+    }
+
     /** The entries of a list in discovery's form; malformed ones are an {@link IllegalArgumentException}. */
     static List<Entry> entries(JsonNode list) {
         List<Entry> entries = new ArrayList<>();
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -160,8 +160,11 @@
                 counter.start();
                 loop.scheduleAtFixedRate(this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
                 loop.scheduleAtFixedRate(this::countHosts, SURVEY_MS, SURVEY_MS, TimeUnit.MILLISECONDS);
-                return clients.start(inherited);
-            }).sync().getNow().sync();
+            }).sync();
+            if (!rehearsing) { // a rehearsal's discovery is the node itself
+                discovery.awaitList();
+            }
+            loop.submit(() -> clients.start(inherited)).sync().getNow().sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -648,9 +651,9 @@
         return drained.await(ms, TimeUnit.MILLISECONDS);
     }
 
-    /** The port of the listener, where the configuration left it to the system. */
+    /** The port of the listener, where the configuration left it to the system; 0 before clients are let in. */
     int port() {
-        return ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
+        return clients.listener() == null ? 0 : ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
     }
 
     /** Ends everything at once and answers nothing. */
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -15,6 +15,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
 import deckfall.Gateway.Events;
@@ -40,6 +41,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -122,6 +124,26 @@
         return node;
     }
 
+    /** The list of before a restart names hosts that drain by now: nothing may be sent there meanwhile. */
+    @Test
+    void noClientIsLetInBeforeThePresentList() throws Exception {
+        CompletableFuture<Node> started = new CompletableFuture<>();
+        CompletableFuture<Integer> portWhenAsked = new CompletableFuture<>();
+        Server registry = kept(new Server((m, s) -> {
+            Node node = started.join();
+            node.loop.submit(() -> { }).sync(); // what was begun before the call is done
+            portWhenAsked.complete(node.port());
+            s.getOutputStream().write(ok(list(1, true)));
+        }));
+        String config = Sockets.config(registry.address(), "127.0.0.1:0");
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)));
+        ends.push(node::stop);
+        started.complete(node);
+        node.start();
+        assertEquals(0, portWhenAsked.get(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertNotEquals(0, node.port());
+    }
+
     private Node nodeBefore(Server... hosts) throws IOException {
         String[] entries = new String[hosts.length];
         for (int i = 0; i < hosts.length; i++) {
