Read the configuration again where discovery can't be had

At fault whatever loses the move: Discovery.again, which asked at a dead address for good. After three failures in a row the node now reads its configuration, on a thread of its own, and moves where that tells. Each move is logged.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -42,6 +42,7 @@
     private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
     private static final long PATIENCE_MS = 1000; // beyond what a call may wait
     private static final long FIRST_LIST_MS = 1000; // a gateway starts without discovery, but not beside it
+    private static final int LOST_AFTER = 3; // calls in a row that failed: the address may be one of before a move
     private static final long AGAIN_MS = 80; // at most after a first failure: a watch is broken only after 200
     private static final long AGAIN_MOST_MS = 1500; // a fleet that is turned away comes back by and by
     private static final int MAX_LIST = 4 << 20;
@@ -56,6 +57,7 @@
     private Channel channel;
     private Future<?> timeout;
     private boolean failing;
+    private int failures; // in a row
     private long version = -1; // -1: the whole list is still to come
     private final CountDownLatch listed = new CountDownLatch(1);
 
@@ -101,6 +103,7 @@
         if (to.equals(address)) {
             return;
         }
+        Node.log("discovery: moves from " + address + " to " + to);
         address = to;
         version = -1;
         backoff.reset();
@@ -110,6 +113,10 @@
     }
 
     private void again() {
+        failures++;
+        if (failures % LOST_AFTER == 0) {
+            node.discoveryLost();
+        }
         node.loop.schedule(this::connect, backoff.nextMs(), TimeUnit.MILLISECONDS);
     }
 
@@ -145,6 +152,7 @@
                 list = json.readTree(in);
             }
             failing = false;
+            failures = 0;
             backoff.reset();
             boolean whole = list.path("full").asBoolean();
             List<Entry> entries = entries(list);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -74,6 +74,8 @@
     private boolean telling;
     private volatile boolean serving;
     private boolean rehearsing;
+    private Path configFile; // null where the configuration came from elsewhere
+    private volatile boolean rereading;
     private Beside beside; // set before the start, where another process may serve as this gateway
     private List<Remembered> recalled = List.of();
     private int processes = 1;
@@ -107,6 +109,7 @@
             NodeConfig config = NodeConfig.read(configFile);
             ServerSocketChannel inherited = Inherited.listener();
             Node node = new Node(config);
+            node.configuredBy(Path.of(configFile));
             if (config.operator() != null) {
                 new Operator(config.operator(), node.operations()).start(); // it says no until clients are taken
             }
@@ -116,7 +119,7 @@
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
             node.recall();
             node.start(inherited);
-            Hangup.onSignal(() -> node.reload(configFile));
+            Hangup.onSignal(node::reload);
             log("serving on " + config.listen() + " after " + rehearsed + " rehearsed requests");
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
             node.serving = true;
@@ -127,9 +130,9 @@
     }
 
     /** Takes from a replaced configuration what may change while a node serves: where others are. */
-    private void reload(String configFile) {
+    private void reload() {
         try {
-            NodeConfig changed = NodeConfig.read(configFile);
+            NodeConfig changed = NodeConfig.read(configFile.toString());
             log("configuration read again: discovery at " + changed.discovery());
             loop.execute(() -> {
                 discovery.move(changed.discovery());
@@ -140,6 +143,29 @@
         }
     }
 
+    /** The file in which the platform tells of changes. */
+    void configuredBy(Path file) {
+        configFile = file;
+    }
+
+    /**
+     * Where discovery can't be had it may have moved while nobody heard the signal, as in a start that had read the
+     * file before it was replaced. On a thread of its own, as files may be slow.
+     */
+    void discoveryLost() {
+        if (configFile == null || rereading) {
+            return;
+        }
+        rereading = true;
+        Thread reader = new Thread(() -> {
+            log("discovery can't be had");
+            reload();
+            rereading = false;
+        }, "reload");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
     /** Returns once clients are served at the configured address. */
     void start() throws IOException {
         start(null);
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -36,6 +36,8 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -57,6 +59,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A node between real sockets: each test is a failure that must not cost a request or break a rule. */
 class NodeTest {
@@ -144,6 +147,22 @@
         assertNotEquals(0, node.port());
     }
 
+    /** A signal that nobody heard would leave a gateway deaf to drains for good. */
+    @Test
+    void whereDiscoveryIsGoneTheConfigurationIsReadAgain(@TempDir Path folder) throws Exception {
+        Registry old = new Registry(list(1, true));
+        Registry moved = kept(new Registry(list(2, true)));
+        Path file = Files.writeString(folder.resolve("config.json"),
+                Sockets.config(old.server.address(), "127.0.0.1:0"));
+        Node node = new Node(NodeConfig.read(file.toString()));
+        ends.push(node::stop);
+        node.configuredBy(file);
+        node.start();
+        Files.writeString(file, Sockets.config(moved.server.address(), "127.0.0.1:0"));
+        old.close();
+        assertNotNull(moved.server.next(), "not asked at the address of the replaced configuration");
+    }
+
     private Node nodeBefore(Server... hosts) throws IOException {
         String[] entries = new String[hosts.length];
         for (int i = 0; i < hosts.length; i++) {
