Keep the counter's calls for the plan whose excess costs most where a set is wide

At fault, in Brain: customer(), which gave each gateway of a set a free request; spares(), by which each of them takes half of the burst to be free before it asks; counts() and addUncounted(), by which each use of 1,500 customers is a call of its own; learnTotal(), to which a total first seen says that all was used at once.

Where an even part holds no request, the plans whose excess costs at least the mean are now counted before anything but the own part lets in, under a name for each spell of four bursts, so that one call tells what may be left; the other plans make no calls. What the meter leaves decides where the counter can't.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -25,6 +25,8 @@
     private static final double USUAL_USE = 0.5; // of the rate, by a customer that the meter has not told of
     private static final double SPARE_SHARE = 0.5; // of what the others hold, that may be free
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
+    // Admission in a set so wide that no part holds a request
+    private static final double SPELL_BURSTS = 4; // times in which the burst fills, for one count of a use
     // Keepers and tells
     private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
     private static final int KEEPERS = 2; // gateways of a set that keep its books: one may be down
@@ -260,7 +262,8 @@
             c = new Customer(id, plan, p, first, wide, keepers, now);
             c.level = p.burst();
             c.spare = spareHold(c, 1.0 / wide);
-            c.tokens = Math.max(p.burst() / c.spread, leastHold(p)); // less than one request is no use
+            // Less than one request is no use, but a free one in each gateway of a wide set is many bursts.
+            c.tokens = wide(c) ? p.burst() / c.spread : Math.max(p.burst() / c.spread, leastHold(p));
             // The ceiling's store starts with what has filled since this gateway started, never with a burst:
             // before a restart this gateway may have spent it (rule 5).
             double filled = (now - startedAt) / 1000 * p.ceilingRate() * ceilingShare(c);
@@ -361,6 +364,7 @@
             if (now - c.toldAt > SYNC_MS) changed(now, c);
             return Verdict.OUT;
         }
+        if (limited && wide(c)) return judgeWide(now, c, units);
         boolean asks = set.limits().peers() && c.spread > 1;
         int keeper = keeper(now, c, 0);
         boolean room = !limited || keeper == set.me() && asks
@@ -373,6 +377,35 @@
         return asks ? Verdict.ASK : Verdict.OUT;
     }
 
+    /** Whether so many gateways share a customer that an even part of the burst holds no request. */
+    private boolean partless(Customer c) {
+        return !set.limits().peers() && c.plan.burst() / c.spread < set.sharing().maxUnits();
+    }
+
+    /**
+     * There a part says nothing of the whole, and what each gateway takes to be free beside it would be taken
+     * by all of the set at once: the counter has to tell, as far as it can.
+     */
+    private boolean wide(Customer c) {
+        return partless(c) && costly(c.plan) && c.plan.ceilingRate() <= 0;
+    }
+
+    /** The counter can't bear a call for each request of a fleet: calls go where excess costs most. */
+    private boolean costly(Plan p) {
+        double mean = set.plans().stream().mapToDouble(Brain::excessCost).average().orElse(0);
+        return excessCost(p) >= mean;
+    }
+
+    private static double excessCost(Plan p) {
+        return p.price() * (p.overCost() - p.overWorth());
+    }
+
+    private Verdict judgeWide(double now, Customer c, double units) {
+        if (c.tokens >= units) return Verdict.IN;
+        if (counts(c) && now >= muteTill) return Verdict.COUNT;
+        return spares(c, units) ? Verdict.IN : Verdict.OUT;
+    }
+
     /** What the others may have used since a keeper told, as far as it matters against the excess cost. */
     private double reserve(double now, Customer c) {
         double cost = c.plan.overCost() - c.plan.overWorth();
@@ -482,7 +515,8 @@
 
     /** Where gateways can't talk, the counter holds a customer's use by all of its set. */
     private boolean counts(Customer c) {
-        return set.sharing().counter() && !set.limits().peers() && c.spread > 1 && c.plan.rate() > 0;
+        return set.sharing().counter() && !set.limits().peers() && c.spread > 1 && c.plan.rate() > 0
+                && (!partless(c) || costly(c.plan));
     }
 
     /** Holds a request that the own part has no room for until the whole store is known. */
@@ -505,11 +539,29 @@
         uncounted.remove(c);
         c.called = true;
         c.calledAt = now;
-        act.count("u" + Long.toHexString(c.id), c.calling, COUNT_LIFE_MS);
+        c.spell = wide(c) ? spell(now, c) : 0;
+        act.count("u" + Long.toHexString(c.id) + (wide(c) ? "." + c.spell : ""), c.calling, COUNT_LIFE_MS);
+    }
+
+    /**
+     * The time by the clock that one name counts, so that one call tells a gateway that has never seen the
+     * customer what may be left; each customer's at another moment, or all counts would begin in step.
+     */
+    private static long spell(double now, Customer c) {
+        return (long) Math.floor((now + spellShift(c)) / spellMs(c));
+    }
+
+    private static double spellMs(Customer c) {
+        return SPELL_BURSTS * 1000 * c.plan.burst() / c.plan.rate();
+    }
+
+    private static double spellShift(Customer c) {
+        return Math.floorMod(c.id, (long) Math.max(1, spellMs(c)));
     }
 
     @Override public void counted(double now, String counter, Outcome outcome, double total) {
-        Customer c = customers.get(Long.parseLong(counter.substring(1), 16));
+        int end = counter.indexOf('.') < 0 ? counter.length() : counter.indexOf('.');
+        Customer c = customers.get(Long.parseLong(counter, 1, end, 16));
         if (c == null || !c.called) return;
         touch(now, c);
         c.called = false;
@@ -524,10 +576,14 @@
             double units = ask.request.units();
             c.uncounted -= units; // wanted only; what is let in is charged anew
             if (ask.done) continue;
-            decide(now, ask, (told ? c.level : c.tokens) >= units && openAdmits(now, c));
+            boolean room = told ? c.level >= units : c.tokens >= units || wide(c) && spares(c, units);
+            decide(now, ask, room && openAdmits(now, c));
         }
         if (c.uncounted != 0) uncounted.add(c);
-        while (!told && !c.pending.isEmpty()) decide(now, c.pending.poll(), false);
+        while (!told && !c.pending.isEmpty()) {
+            Ask next = c.pending.poll();
+            decide(now, next, wide(c) && spares(c, next.request.units()));
+        }
         if (!c.pending.isEmpty()) callCounter(now, c);
         post(now);
     }
@@ -540,6 +596,10 @@
 
     /** What the others used since the last total is gone; a smaller total is of a name begun anew. */
     private void learnTotal(double now, Customer c, double total) {
+        if (wide(c)) {
+            learnSpell(now, c, total);
+            return;
+        }
         boolean anew = c.totalAt == State.NEVER || total < c.total / 2;
         double others = total - c.calling - (anew ? 0 : c.total);
         c.total = total;
@@ -548,6 +608,16 @@
         c.spare = Math.min(c.spare, c.level);
     }
 
+    /** A customer that had its whole burst when the count began has at most this left, as far as it tells. */
+    private void learnSpell(double now, Customer c, double total) {
+        double seconds = (now + spellShift(c) - c.spell * spellMs(c)) / 1000;
+        double wanted = c.asking.stream().mapToDouble(a -> a.request.units()).sum();
+        double left = c.plan.burst() + c.plan.rate() * seconds - (total - wanted);
+        c.total = total;
+        c.totalAt = c.newsAt = now;
+        c.level = Math.max(0, Math.min(c.level, left));
+    }
+
     /** What was let in by the own part is to be known to the others too, by and by. */
     private void addUncounted(double now) {
         if (now < muteTill || uncounted.isEmpty()) return;
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -125,6 +125,7 @@
         double uncounted; // units used here that no call has added yet; below nothing: to be given back
         double calling; // units that the call under way adds
         boolean called; // a call is under way
+        long spell; // of the count that it adds to, in a wide set
         List<Ask> asking = List.of(); // requests whose units it carries
 
         Customer(long id, int planNumber, Plan plan, int first, int spread, int[] keepers, double now) {
