--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -77,6 +77,7 @@
     private final AtomicInteger open = new AtomicInteger();
     private final int maxConnections;
     private Channel listener;
+    private double stirredAt;
     private boolean sharesListener;
 
     ClientServer(Node node) {
@@ -141,6 +142,7 @@
         double before = node.clock.now() - quietMs;
         for (Connection c : new LinkedHashSet<>(idle)) {
             if (c.usedAt <= before) {
+                stirredAt = node.clock.now();
                 c.channel.close();
             }
         }
@@ -150,6 +152,11 @@
         return connections.isEmpty();
     }
 
+    /** When a connection last came, or was closed while idle. */
+    double stirredAt() {
+        return stirredAt;
+    }
+
     /** From any thread: about how many clients' connections are open. */
     int connections() {
         return open.get();
@@ -204,6 +211,7 @@
             open.set(connections.size());
             idle.add(this);
             usedAt = node.clock.now();
+            stirredAt = usedAt;
             headSince = usedAt; // a stranger's time counts from its connecting
             if (connections.size() + node.othersClients() > maxConnections) {
                 channel.close();
--- a/src/main/java/deckfall/net/Drain.java
+++ b/src/main/java/deckfall/net/Drain.java
@@ -12,6 +12,7 @@
     static final long ACCEPT_ON_MS = 500; // new connections still come, and their requests are not to cross a close
     static final double QUIET_MS = 300; // a connection in use is closed with an answer instead, if one comes
     static final long ALL_IDLE_MS = 2500; // from here on an idle connection is closed however lately it was used
+    static final double CROSSING_MS = 100; // a client that finds its connection closed comes on a new one at once
     private static final long SWEEP_MS = 50;
 
     private final EventLoop loop;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -648,10 +648,9 @@
     void drain() {
         ending = true;
         drain.begin();
-        loop.schedule(() -> {
-            clients.stopAccepting();
-            awaitEmpty();
-        }, clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        double latest = clock.now() + Drain.ALL_IDLE_MS;
+        loop.schedule(() -> stopAccepting(latest), clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS + POLL_MS,
+                TimeUnit.MILLISECONDS); // after the first sweep, which is due at the same time
         loop.schedule(() -> {
             over = true;
             for (OpenRequest r : List.copyOf(open.values())) {
@@ -665,6 +664,17 @@
         }, DRAIN_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Not in the turn that closes idle connections: what their clients ask anew would wait in a closed listener. */
+    private void stopAccepting(double latest) {
+        boolean stirs = clock.now() - clients.stirredAt() < Drain.CROSSING_MS && clock.now() < latest;
+        if (stirs && !clients.sharesListener()) {
+            loop.schedule(() -> stopAccepting(latest), POLL_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        clients.stopAccepting();
+        awaitEmpty();
+    }
+
     private void awaitEmpty() {
         if (open.isEmpty() && clients.idle()) {
             drained.countDown();
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -36,6 +36,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -147,6 +148,34 @@
         assertNotEquals(0, node.port());
     }
 
+    /** A drain closes idle connections; a request that crosses such an end comes again on a new connection at once. */
+    @Test
+    void aClientWhoseIdleConnectionADrainClosedIsServedOnANewOne() throws Exception {
+        Node node = nodeBefore(host(NodeTest::echo));
+        Client idle = client(node);
+        assertEquals(200, idle.send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        idle.socket.setSoTimeout(1);
+        CompletableFuture<Client> anew = new CompletableFuture<>();
+        node.loop.execute(node::drain);
+        node.loop.execute(() -> comeAgain(node, idle, anew));
+        Client second = anew.get(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        assertEquals(200, second.receive().status());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** On the node's own loop, so that nothing else of the node can come between the end and the new request. */
+    private void comeAgain(Node node, Client idle, CompletableFuture<Client> anew) {
+        try {
+            if (idle.socket.getInputStream().read() < 0) {
+                anew.complete(client(node).send(view("b", Sockets.PATIENCE_MS)));
+            }
+        } catch (SocketTimeoutException e) { // still open
+            node.loop.schedule(() -> comeAgain(node, idle, anew), 1, TimeUnit.MILLISECONDS);
+        } catch (IOException e) {
+            anew.completeExceptionally(e);
+        }
+    }
+
     /** A signal that nobody heard would leave a gateway deaf to drains for good. */
     @Test
     void whereDiscoveryIsGoneTheConfigurationIsReadAgain(@TempDir Path folder) throws Exception {
