Ask discovery at a start for what changed since the known list, not for all of it

Each start asked for the whole list of 60 to 78 hosts, and a list is work by its length for a discovery that all share, so the watches that follow queued behind the lists.

Ruled out: calls in step alone (each backs off with jitter; the calls that failed came from all gateways at any time), and watches by themselves (once one stood, all further ones were answered).

A list without a version, or with changes of an older one, no longer takes the place of the last good state, and malformed lists are asked again ever more slowly.

Lines at fault: Discovery.version, -1 at each start; Discovery.channelRead0, which took a list for good before reading it.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -35,7 +35,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-/** Asks for the whole list of hosts, then watches it without a break; a silent or broken call is asked anew. */
+/**
+ * Asks what has changed since the list in hand, or for the whole list where there is none, then watches it without a
+ * break; a silent or broken call is asked anew. A list is work by its length for a discovery that all gateways share:
+ * where many start at once and each asks for all of it, their calls fail for seconds.
+ */
 final class Discovery {
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
@@ -58,12 +62,14 @@
     private Future<?> timeout;
     private boolean failing;
     private int failures; // in a row
-    private long version = -1; // -1: the whole list is still to come
+    private long version; // -1: the whole list is still to come
+    private boolean behind = true; // what has changed since that version is still to come
     private final CountDownLatch listed = new CountDownLatch(1);
 
     Discovery(Node node) {
         this.node = node;
         this.address = node.config.discovery();
+        this.version = node.config.knownVersion();
         this.backoff = new Backoff(AGAIN_MS, AGAIN_MOST_MS, new Random(node.config.settings().seed()));
     }
 
@@ -106,6 +112,7 @@
         Node.log("discovery: moves from " + address + " to " + to);
         address = to;
         version = -1;
+        behind = true;
         backoff.reset();
         if (channel != null) {
             channel.close(); // its end leads to the new address
@@ -132,13 +139,13 @@
 
         private void call() {
             Channel on = channel;
-            boolean whole = version < 0;
-            String uri = whole ? PATH : PATH + "?from=" + version + "&hold_ms=" + HOLD_MS;
+            long holdMs = behind ? 0 : HOLD_MS;
+            String uri = version < 0 ? PATH : PATH + "?from=" + version + "&hold_ms=" + holdMs;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             on.writeAndFlush(request, on.voidPromise());
-            timeout = node.loop.schedule(() -> on.close(), (whole ? 0 : HOLD_MS) + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            timeout = node.loop.schedule(() -> on.close(), holdMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -151,12 +158,14 @@
             try (InputStream in = new ByteBufInputStream(response.content())) {
                 list = json.readTree(in);
             }
+            boolean whole = list.path("full").asBoolean();
+            List<Entry> entries = entries(list);
+            long told = version(list);
             failing = false;
             failures = 0;
             backoff.reset();
-            boolean whole = list.path("full").asBoolean();
-            List<Entry> entries = entries(list);
-            version = list.path("version").asLong(-1);
+            behind = !whole && told < version; // versions are counted anew: changes since say nothing
+            version = behind ? -1 : told;
             if (whole && !node.rehearsing()) { // once a start or a move: without this line the old list is still in use
                 Node.log("discovery: whole list of " + entries.size() + ", version " + version + ", from " + address);
             }
@@ -168,10 +177,12 @@
             } else {
                 ctx.close();
             }
-            if (whole || !entries.isEmpty()) {
+            if (!behind && (whole || !entries.isEmpty())) {
                 node.hostsTold(whole ? ListKind.FULL : ListKind.CHANGES, entries);
             }
-            listed.countDown();
+            if (!behind) {
+                listed.countDown();
+            }
         }
 
         @Override
@@ -196,6 +207,14 @@
         return text.toString();
     }
 
+    /** A list that tells no version can't be watched on from; it is as malformed as one with an unknown state. */
+    private static long version(JsonNode list) {
+        if (!list.path("version").isIntegralNumber()) {
+            throw new IllegalArgumentException("a list without a version");
+        }
+        return list.path("version").asLong();
+    }
+
     /** The entries of a list in discovery's form; malformed ones are an {@link IllegalArgumentException}. */
     static List<Entry> entries(JsonNode list) {
         List<Entry> entries = new ArrayList<>();
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -92,6 +92,11 @@
         return known.path("version").asLong() > 0;
     }
 
+    /** The version of the list that it starts with; -1 where that names no host. */
+    long knownVersion() {
+        return known.path(Discovery.LIST).isEmpty() ? -1 : known.path("version").asLong(-1);
+    }
+
     /** The same settings for a node at {@code at} that is its own discovery and only host. */
     NodeConfig rehearsal(InetSocketAddress at) {
         ObjectNode self = JsonNodeFactory.instance.objectNode().put("id", "self").put("state", "ready")
--- /dev/null
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -0,0 +1,128 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Server;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What a node asks of discovery, and what it makes of the answers. */
+class DiscoveryTest {
+    private static final String DRAINED = "draining";
+    private final Deque<Closeable> ends = new ArrayDeque<>();
+    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void close() throws IOException {
+        for (Closeable c : ends) {
+            c.close();
+        }
+    }
+
+    private <T extends Closeable> T kept(T end) {
+        ends.push(end);
+        return end;
+    }
+
+    private static void echo(Message m, Socket s) throws IOException {
+        s.getOutputStream().write(ok(m.header("X-Trace-Id")));
+    }
+
+    /** Answers each call with the next of the answers; one that is empty ends the connection. */
+    private Server discovery() throws IOException {
+        return kept(new Server((m, s) -> {
+            String body = answers.take();
+            if (body.isEmpty()) {
+                s.close();
+            } else {
+                s.getOutputStream().write(ok(body));
+            }
+        }));
+    }
+
+    private Node node(Server discovery, String known) throws IOException {
+        String config = Sockets.config(discovery.address(), "127.0.0.1:0")
+                .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known);
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(config)));
+        ends.push(node::stop);
+        node.start();
+        return node;
+    }
+
+    private int status(Node node, String id) throws IOException {
+        try (Client c = new Client(node)) {
+            return c.send(view(id, Sockets.PATIENCE_MS)).receive().status();
+        }
+    }
+
+    private static String asked(Server discovery) throws InterruptedException {
+        return discovery.next().start();
+    }
+
+    /** Many that start at once would queue for as many whole lists, and none would hear of a change meanwhile. */
+    @Test
+    void aStartAsksForWhatChangedSinceTheKnownList() throws Exception {
+        Server old = kept(new Server(DiscoveryTest::echo));
+        Server fresh = kept(new Server(DiscoveryTest::echo));
+        Server discovery = discovery();
+        answers.add(list(9, false, entry("a", old.address(), DRAINED), entry("b", fresh.address(), "ready")));
+        Node node = node(discovery, list(7, true, entry("a", old.address(), "ready")));
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
+        assertEquals("GET /v1/servers?from=9&hold_ms=5000 HTTP/1.1", asked(discovery));
+        assertEquals(200, status(node, "one"));
+        assertEquals(1, fresh.asked.size());
+        assertEquals(0, old.asked.size());
+    }
+
+    @Test
+    void withNoHostKnownTheWholeListIsAsked() throws Exception {
+        Server discovery = discovery();
+        answers.add(list(3, true));
+        node(discovery, list(3, true));
+        assertEquals("GET /v1/servers HTTP/1.1", asked(discovery));
+    }
+
+    /** As after a discovery that lost its state: what changed since its own versions says nothing of ours. */
+    @Test
+    void changesOfAnOlderVersionAreLeftForTheWholeList() throws Exception {
+        Server host = kept(new Server(DiscoveryTest::echo));
+        Server discovery = discovery();
+        answers.add(list(2, false, entry("a", host.address(), "gone")));
+        answers.add(list(2, true, entry("a", host.address(), "ready")));
+        Node node = node(discovery, list(7, true, entry("a", host.address(), "ready")));
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
+        assertEquals("GET /v1/servers HTTP/1.1", asked(discovery));
+        assertEquals("GET /v1/servers?from=2&hold_ms=5000 HTTP/1.1", asked(discovery));
+        assertEquals(200, status(node, "one"));
+    }
+
+    @Test
+    void aMalformedListLeavesTheKnownOneInForce() throws Exception {
+        Server host = kept(new Server(DiscoveryTest::echo));
+        Server discovery = discovery();
+        answers.add("{\"servers\":[" + entry("a", host.address(), DRAINED) + "]}");
+        answers.add(list(9, false, entry("a", host.address(), DRAINED), entry("b", host.address(), "odd")));
+        answers.add("[]");
+        answers.add("");
+        answers.add(list(7, false));
+        Node node = node(discovery, list(7, true, entry("a", host.address(), "ready")));
+        for (int i = 0; i < 5; i++) {
+            assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
+        }
+        assertEquals(200, status(node, "one"));
+    }
+}
