Turn back what waits for a connection to a host once that drains, goes or restarts

Root cause: HostClient.connect wrote the request as soon as its connection came up, however long after the list had told of the host's drain; HostClient.listed closed idle connections only. With a connect time-out of 250 ms and a grace of 250 ms the first byte leaves up to 250 ms too late, and more where the settings give a connection longer than the grace.

Ruled out: idle connections (closed by the list) and the module (it picks open hosts only).

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -38,11 +38,14 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -83,6 +86,20 @@
     /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
     abstract static class Exchange {
         private Connection connection;
+        private boolean begun;
+
+        /** Whether something of it may have left: until then it waits for a connection to come up. */
+        final boolean begun() {
+            return begun;
+        }
+
+        /** Its host takes nothing new any more, and it had to wait for a connection there. */
+        private void turnBack() {
+            if (connection != null && !begun) {
+                abandon();
+                ended(Outcome.FULL, null);
+            }
+        }
 
         /** How it ended; the response, where there is one, is only lent. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
@@ -112,6 +129,7 @@
         final InetSocketAddress address;
         final double startedMs;
         final ArrayDeque<Connection> idle = new ArrayDeque<>(); // the last used at the end
+        final Set<Connection> rising = new LinkedHashSet<>(); // each for what waits for it
         private final double mostIdleMs;
         double trustMs; // idle for longer than this, a connection is not used again
         boolean closed;
@@ -130,6 +148,10 @@
             }
         }
 
+        void strand(List<Exchange> stranded) {
+            rising.stream().map(c -> c.exchange).filter(Objects::nonNull).forEach(stranded::add);
+        }
+
         void trustAgain() {
             trustMs = Math.min(mostIdleMs, trustMs * TRUST_GROWTH);
         }
@@ -137,7 +159,13 @@
 
     // ---- the list
 
-    void listed(ListKind kind, List<Discovery.Entry> entries) {
+    /**
+     * Takes the list over. What still waits for a connection to a host that is to get nothing new, or for one to a
+     * former life of a host, would be sent by the time that it comes up: the caller turns it back, once the module
+     * knows the list too.
+     */
+    Runnable listed(ListKind kind, List<Discovery.Entry> entries) {
+        List<Exchange> stranded = new ArrayList<>();
         Set<String> named = new HashSet<>();
         for (Discovery.Entry e : entries) {
             String id = e.host().id();
@@ -146,21 +174,24 @@
             boolean same = old != null && old.address.equals(e.address()) && old.startedMs == e.host().startedMs();
             if (e.host().state() == HostState.GONE) {
                 pools.remove(id);
-                close(old);
+                close(old, stranded);
             } else if (!same) {
                 pools.put(id, new Pool(e.address(), e.host().startedMs(), node.config.idleMs() * IDLE_SHARE));
-                close(old);
+                close(old, stranded);
+            } else if (e.host().state() == HostState.DRAINING) {
+                old.strand(stranded);
             }
         }
         if (kind != ListKind.CHANGES) {
             pools.entrySet().removeIf(p -> {
                 boolean absent = !named.contains(p.getKey());
                 if (absent) {
-                    close(p.getValue());
+                    close(p.getValue(), stranded);
                 }
                 return absent;
             });
         }
+        return () -> stranded.forEach(Exchange::turnBack);
     }
 
     /** From any thread: how many connections to hosts are open or come up. */
@@ -173,8 +204,9 @@
         return pools.size();
     }
 
-    private void close(Pool pool) {
+    private void close(Pool pool, List<Exchange> stranded) {
         if (pool != null) {
+            pool.strand(stranded);
             pool.closed = true;
             List<Connection> ended = List.copyOf(pool.idle);
             pool.idle.clear();
@@ -301,6 +333,7 @@
     private void connect(Pool pool, Exchange x, Message message) {
         connections++;
         Connection c = new Connection(pool);
+        pool.rising.add(c);
         c.exchange = x;
         x.connection = c;
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
@@ -311,6 +344,7 @@
             }
         }).connect(pool.address);
         connecting.addListener(f -> {
+            pool.rising.remove(c);
             if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
                 connections--;
                 c.lost();
@@ -349,6 +383,7 @@
         void write(Exchange x, HttpRequest message) {
             exchange = x;
             x.connection = this;
+            x.begun = true;
             written = false;
             wroteAt = node.clock.now();
             if (message instanceof FullHttpRequest) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -523,10 +523,11 @@
     }
 
     void hostsTold(ListKind kind, List<Discovery.Entry> entries) {
-        hosts.listed(kind, entries);
+        Runnable turnBack = hosts.listed(kind, entries);
         List<Host> list = new ArrayList<>(entries.size());
         entries.forEach(e -> list.add(e.host()));
         tell((now, m) -> m.hosts(now, kind, list));
+        turnBack.run();
     }
 
     void probed(String host, Outcome outcome, double took, double[] report) {
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -17,13 +17,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Actions;
-import deckfall.Gateway.AttemptResult;
 import deckfall.Gateway.Events;
-import deckfall.Gateway.Host;
-import deckfall.Gateway.ListKind;
 import deckfall.Gateway.Outcome;
-import deckfall.Gateway.Request;
-import deckfall.Gateway.Settings;
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
@@ -50,8 +45,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -829,71 +822,6 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
-    /** A module that does only what a test says of a request. */
-    private static class Scripted implements Events {
-        private final BiConsumer<Double, Request> script;
-        private final Consumer<AttemptResult> ends;
-
-        Scripted(BiConsumer<Double, Request> script, Consumer<AttemptResult> ends) {
-            this.script = script;
-            this.ends = ends;
-        }
-
-        Scripted(BiConsumer<Double, Request> script) {
-            this(script, r -> { });
-        }
-
-        @Override
-        public void start(double now, Settings settings) { }
-
-        @Override
-        public void hosts(double now, ListKind kind, List<Host> hosts) { }
-
-        @Override
-        public void request(double now, Request r) {
-            script.accept(now, r);
-        }
-
-        @Override
-        public void streamStarted(double now, String id, int attempt) { }
-
-        @Override
-        public void attemptEnded(double now, AttemptResult r) {
-            ends.accept(r);
-        }
-
-        @Override
-        public void clientLeft(double now, String id) { }
-
-        @Override
-        public void timer(double now, String token) { }
-
-        @Override
-        public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
-
-        @Override
-        public void peerSaid(double now, int peer, byte[] data) { }
-
-        @Override
-        public void counted(double now, String counter, Outcome outcome, double total) { }
-
-        @Override
-        public void besides(double now, int processes) { }
-
-        @Override
-        public List<deckfall.Gateway.Remembered> remember(double now) {
-            return List.of();
-        }
-
-        @Override
-        public void recall(double now, List<deckfall.Gateway.Remembered> memory) { }
-
-        @Override
-        public int avoided(double now) {
-            return 0;
-        }
-    }
-
     private Node scripted(Function<Actions, Events> module, String... entries) throws IOException {
         registry = kept(new Registry(list(1, true, entries)));
         Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"), module);
--- /dev/null
+++ b/src/test/java/deckfall/net/Scripted.java
@@ -0,0 +1,78 @@
+package deckfall.net;
+
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Events;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Remembered;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.Settings;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** A module that does only what a test says of a request. */
+class Scripted implements Events {
+    private final BiConsumer<Double, Request> script;
+    private final Consumer<AttemptResult> ends;
+
+    Scripted(BiConsumer<Double, Request> script, Consumer<AttemptResult> ends) {
+        this.script = script;
+        this.ends = ends;
+    }
+
+    Scripted(BiConsumer<Double, Request> script) {
+        this(script, r -> { });
+    }
+
+    @Override
+    public void start(double now, Settings settings) { }
+
+    @Override
+    public void hosts(double now, ListKind kind, List<Host> hosts) { }
+
+    @Override
+    public void request(double now, Request r) {
+        script.accept(now, r);
+    }
+
+    @Override
+    public void streamStarted(double now, String id, int attempt) { }
+
+    @Override
+    public void attemptEnded(double now, AttemptResult r) {
+        ends.accept(r);
+    }
+
+    @Override
+    public void clientLeft(double now, String id) { }
+
+    @Override
+    public void timer(double now, String token) { }
+
+    @Override
+    public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
+
+    @Override
+    public void peerSaid(double now, int peer, byte[] data) { }
+
+    @Override
+    public void counted(double now, String counter, Outcome outcome, double total) { }
+
+    @Override
+    public void besides(double now, int processes) { }
+
+    @Override
+    public List<Remembered> remember(double now) {
+        return List.of();
+    }
+
+    @Override
+    public void recall(double now, List<Remembered> memory) { }
+
+    @Override
+    public int avoided(double now) {
+        return 0;
+    }
+}
--- a/src/test/java/deckfall/net/Sockets.java
+++ b/src/test/java/deckfall/net/Sockets.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +25,7 @@
 
 /** The other ends of a node's sockets, on ports that the system chooses. */
 final class Sockets {
+    private static final int QUEUED = 2; // connections that a queue of one takes
     static final int PATIENCE_MS = 30_000; // how long a test waits for what must come
 
     private Sockets() { }
@@ -141,6 +143,42 @@
         }
     }
 
+    /** A server whose machine lets no connection come up: its queue of those that nobody accepts is full. */
+    static final class Unreachable implements Closeable {
+        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<SocketChannel> crowd = new ArrayList<>();
+
+        Unreachable() throws IOException {
+            for (int i = 0; i < QUEUED; i++) {
+                SocketChannel c = SocketChannel.open();
+                crowd.add(c);
+                c.connect(listener.getLocalSocketAddress());
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        /** The next connection that came up, after those that filled the queue. */
+        Socket accept() throws IOException {
+            for (SocketChannel c : crowd) {
+                c.close();
+                listener.accept().close();
+            }
+            crowd.clear();
+            return listener.accept();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            for (SocketChannel c : crowd) {
+                c.close();
+            }
+        }
+    }
+
     /** Discovery: one list, and watches that hold until a further answer is put in. */
     static final class Registry implements Closeable {
         final BlockingQueue<String> news = new LinkedBlockingQueue<>();
