Withdraw a request that its client left while it waited for a connection

Root cause: Brain.clientLeft cancels attempts only where the settings allow it, and Node told each end of an attempt as one that may have run. Where cancelling is forbidden, a request whose client had left was written to its connection whenever that came up (Node.clientLeft, HostClient.connect). Where it is allowed, and at a client's time or the end of a drain, an attempt that had never left counted as CANCELLED or TIMEOUT, so that a class that runs once failed where it could have been refused.

Node.withdrawUnsent ends it as moot (the units go back, Brain.close); Node.giveUp tells a connection that never came up as such.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -207,6 +207,7 @@
         if (!a.out) return;
         a.out = false;
         a.neverRan = r.outcome().neverRan();
+        a.moot = r.outcome() == Outcome.MOOT;
         inFlight--;
         a.server.out.remove(a);
         a.server.outWork = a.server.out.isEmpty() ? 0 : a.server.outWork - a.work;
@@ -941,7 +942,8 @@
         c.pending.remove(ask);
         if (!ask.admitted) return;
         c.open--;
-        if (ask.attempts.isEmpty()) { // let in but never sent: the units go back
+        if (ask.attempts.stream().allMatch(a -> a.moot)) { // let in but never sent: the units go back
+            c.unsent += ask.attempts.isEmpty() ? 0 : ask.request.units(); // taken off as it was to leave
             charge(now, c, -ask.request.units(), -ask.request.units());
         }
     }
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -229,7 +229,7 @@
         final double work;
         boolean out = true;
         boolean neverRan;
-        boolean cancelled;
+        boolean moot; // it never left
         boolean overdue;
 
         Attempt(Ask ask, Server server, double sentAt, double work) {
--- a/src/main/java/deckfall/net/Clock.java
+++ b/src/main/java/deckfall/net/Clock.java
@@ -1,7 +1,7 @@
 package deckfall.net;
 
 /** The one clock: Unix milliseconds that only advance, so that they compare with a host's start. */
-final class Clock {
+class Clock {
     private static final double NANOS_PER_MS = 1e6;
 
     private final long anchorNanos = System.nanoTime();
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -55,7 +55,7 @@
     }
 
     final NodeConfig config;
-    final Clock clock = new Clock();
+    final Clock clock;
     final NioEventLoopGroup group = new NioEventLoopGroup(1);
     final EventLoop loop = group.next();
     final Tally tally = new Tally();
@@ -91,7 +91,12 @@
 
     /** With a module of the caller's making. */
     Node(NodeConfig config, Function<Actions, Events> maker) {
+        this(config, maker, new Clock());
+    }
+
+    Node(NodeConfig config, Function<Actions, Events> maker, Clock clock) {
         this.config = config;
+        this.clock = clock;
         this.figures = new Figures(config.settings().classes());
         this.module = maker.apply(this);
         this.clients = new ClientServer(this);
@@ -430,9 +435,24 @@
 
     private void endAttempts(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
-            if (!a.ended) {
+            giveUp(a, Outcome.TIMEOUT);
+        }
+    }
+
+    /** What still waited for a connection has never run, whatever else it would count as. */
+    private void giveUp(Attempt a, Outcome begun) {
+        if (!a.ended) {
+            a.abandon();
+            attemptEnded(a, a.begun() ? begun : Outcome.CONNECT_FAILED, null);
+        }
+    }
+
+    /** Nobody waits for it any more: it must not leave when its connection comes up, whether cancelling is allowed or not. */
+    private void withdrawUnsent(OpenRequest r) {
+        for (Attempt a : List.copyOf(r.attempts)) {
+            if (!a.ended && !a.begun()) {
                 a.abandon();
-                attemptEnded(a, Outcome.TIMEOUT, null);
+                attemptEnded(a, Outcome.MOOT, null);
             }
         }
     }
@@ -443,6 +463,7 @@
         }
         close(r);
         tally.add(Tally.Count.CLIENT_LEFT);
+        withdrawUnsent(r);
         tell((now, m) -> m.clientLeft(now, r.request.id()));
         forgetIfOver(r);
     }
@@ -560,12 +581,7 @@
             return;
         }
         if (timeoutMs > 0) {
-            loop.schedule(() -> {
-                if (!a.ended) {
-                    a.abandon();
-                    attemptEnded(a, Outcome.TIMEOUT, null);
-                }
-            }, micros(timeoutMs), TimeUnit.MICROSECONDS);
+            loop.schedule(() -> giveUp(a, Outcome.TIMEOUT), micros(timeoutMs), TimeUnit.MICROSECONDS);
         }
         hosts.send(a);
     }
@@ -573,12 +589,9 @@
     @Override
     public void cancel(String id, int attempt) {
         OpenRequest r = open.get(id);
-        if (r == null || attempt < 0 || attempt >= r.attempts.size() || r.attempts.get(attempt).ended) {
-            return;
+        if (r != null && attempt >= 0 && attempt < r.attempts.size()) {
+            giveUp(r.attempts.get(attempt), Outcome.CANCELLED);
         }
-        Attempt a = r.attempts.get(attempt);
-        a.abandon();
-        attemptEnded(a, Outcome.CANCELLED, null);
     }
 
     @Override
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -6,6 +6,7 @@
 import static deckfall.net.Sockets.order;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Brain;
@@ -24,8 +25,11 @@
 import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -35,11 +39,26 @@
 
 /** Two events that cross, in the bad order each time: one end of each is in the test's hands. */
 class CrossingTest {
+    private static final int HELD_FROM = 8; // requests for one host; from here on they wait for a place
     private final Deque<Closeable> ends = new ArrayDeque<>();
     private final BlockingQueue<Request> asked = new LinkedBlockingQueue<>(); // after the module has acted on it
     private final BlockingQueue<AttemptResult> results = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> left = new LinkedBlockingQueue<>(); // whose client the module knows to be gone
+    private final Hand clock = new Hand();
     private Registry registry;
 
+    /** A clock that goes on by itself, or stands where the test has put it. */
+    private static final class Hand extends Clock {
+        private final double startMs = super.now();
+        private volatile boolean stands;
+        private volatile double aheadMs;
+
+        @Override
+        double now() {
+            return stands ? startMs + aheadMs : super.now();
+        }
+    }
+
     @AfterEach
     void close() throws IOException {
         for (Closeable c : ends) {
@@ -62,13 +81,18 @@
         return next;
     }
 
+    private Outcome resultOf(String id) throws InterruptedException {
+        AttemptResult result = next(results);
+        return result.id().equals(id) ? result.outcome() : resultOf(id);
+    }
+
     /** Connections may take as long as requests to come up. */
     private Node node(Function<Actions, Events> module, UnaryOperator<String> change, String... entries)
             throws IOException {
         registry = kept(new Registry(list(1, true, entries)));
         String config = Sockets.config(registry.server.address(), "127.0.0.1:0")
                 .replace("\"connect_timeout_ms\": 5000", "\"connect_timeout_ms\": 60000");
-        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(change.apply(config))), module);
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(change.apply(config))), module, clock);
         ends.push(node::stop);
         node.start();
         return node;
@@ -95,6 +119,7 @@
                     switch (method.getName()) {
                         case "request" -> asked.add((Request) args[1]);
                         case "attemptEnded" -> results.add((AttemptResult) args[1]);
+                        case "clientLeft" -> left.add((String) args[1]);
                         default -> { }
                     }
                     return answer;
@@ -130,4 +155,60 @@
             assertEquals(Outcome.FULL, next(results).outcome());
         }
     }
+
+    /** Settings that forbid to cancel speak of what has been sent; what has not must not be, for nobody. */
+    @Test
+    void aRequestWhoseClientLeftBeforeItsConnectionCameUpIsNeverSent() throws Exception {
+        for (String cancel : new String[] {"true", "false"}) {
+            Unreachable slow = kept(new Unreachable());
+            Node node = node(this::noted, c -> c.replace("\"cancel\": true", "\"cancel\": " + cancel),
+                    entry("h0", slow.address(), "ready"));
+            Client c = client(node).send(order("o" + cancel, "b"));
+            next(asked);
+            c.close();
+            assertEquals("o" + cancel, next(left));
+            assertEquals(Outcome.MOOT, resultOf("o" + cancel));
+            client(node).send(order("p", "b"));
+            next(asked);
+            try (Socket came = slow.accept()) {
+                assertEquals("p", Sockets.read(came.getInputStream()).header("X-Trace-Id"));
+            }
+        }
+    }
+
+    /** It holds its place in the queue no longer, and none at a host. */
+    @Test
+    void aRequestWhoseClientLeftWhileItWasHeldIsNeverSent() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server host = kept(new Server((m, s) -> {
+            go.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < HELD_FROM; i++) {
+            clients.add(client(node).send(order("o" + i, "b")));
+            next(asked);
+        }
+        Client gone = client(node).send(order("gone", "b"));
+        next(asked);
+        gone.close();
+        assertEquals("gone", next(left));
+        go.countDown();
+        clients.add(client(node).send(order("o" + HELD_FROM, "b"))); // behind the one that left
+        for (int i = 0; i <= HELD_FROM; i++) {
+            assertEquals("for o" + i, clients.get(i).receive().text());
+        }
+        assertTrue(host.asked.stream().noneMatch(m -> m.header("X-Trace-Id").equals("gone")));
+    }
+
+    /** A connection that never came up proves that nothing has run, also where the client's time ends it. */
+    @Test
+    void whatTheClientsTimeEndsBeforeItsConnectionCameUpIsRefused() throws Exception {
+        Unreachable slow = kept(new Unreachable());
+        Node node = node(this::noted, c -> c.replace("by_key", "once"), entry("h0", slow.address(), "ready"));
+        String soon = order("o", "b").replace("X-Expires-In-Ms: " + Sockets.PATIENCE_MS, "X-Expires-In-Ms: 300");
+        assertEquals(429, client(node).send(soon).receive().status());
+        assertEquals(Outcome.CONNECT_FAILED, next(results).outcome());
+    }
 }
