Let a connection to a host rest for 30 ms after an answer before it is used again

Root cause: HostClient.channelReadComplete put a connection back and the module, told of the free place, wrote the next request to it in the same turn. A second copy of the answer that comes some milliseconds later is then read as the answer to that request: whatever comes while an exchange is under way is its answer, and answers carry nothing that names the request.

Ruled out: telling by header (Content-Length, report and meter only). 30 ms is four times the latest seen; it is under the 50 ms for which any idle connection is trusted. The test's clock stands 25 ms after the first answer; without the mend the second request gets the first one's answer.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -41,6 +41,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,6 +62,7 @@
     private static final double TRUST_CUT = 0.8; // of the idle time at which a connection was found ended
     private static final double TRUST_GROWTH = 1.02; // a sweep, so that a spell of early closes passes
     private static final double PROMPT_MS = 50; // a reset so soon after a request: the host had closed before it
+    private static final double REST_MS = 30; // a second copy of an answer may come some milliseconds after the first
     private static final long SWEEP_MS = 500;
     private static final int MOST_KEPT = 64 * 1024; // of an answer: beyond this it is passed on as it comes
     private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
@@ -310,14 +312,10 @@
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
             return;
         }
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            double idleMs = node.clock.now() - c.idleSince;
-            if (c.channel.isActive() && idleMs <= pool.trustMs) {
-                c.idleBeforeMs = idleMs;
-                c.write(x, message.build());
-                return;
-            }
-            c.channel.close();
+        Connection kept = takeIdle(pool);
+        if (kept != null) {
+            kept.write(x, message.build());
+            return;
         }
         if (!room()) {
             x.ended(Outcome.CONNECT_FAILED, null);
@@ -326,6 +324,28 @@
         connect(pool, x, message);
     }
 
+    /**
+     * The connection used last that has rested since its answer: a second copy of that, which may come late, would
+     * be read as the answer to what is asked on it next.
+     */
+    private Connection takeIdle(Pool pool) {
+        double now = node.clock.now();
+        for (Iterator<Connection> lastFirst = pool.idle.descendingIterator(); lastFirst.hasNext();) {
+            Connection c = lastFirst.next();
+            double idleMs = now - c.idleSince;
+            if (idleMs < REST_MS) {
+                continue;
+            }
+            lastFirst.remove();
+            if (c.channel.isActive() && idleMs <= pool.trustMs) {
+                c.idleBeforeMs = idleMs;
+                return c;
+            }
+            c.channel.close();
+        }
+        return null;
+    }
+
     private interface Message {
         HttpRequest build();
     }
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -28,10 +28,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
@@ -211,4 +214,41 @@
         assertEquals(429, client(node).send(soon).receive().status());
         assertEquals(Outcome.CONNECT_FAILED, next(results).outcome());
     }
+
+    /** The copy comes once the next request has been written, on whichever connection that took. */
+    @Test
+    void aSecondAnswerThatComesLateReachesNoOtherRequest() throws Exception {
+        clock.stands = true;
+        AtomicReference<Socket> first = new AtomicReference<>();
+        Server host = kept(new Server((m, s) -> {
+            if (first.compareAndSet(null, s)) {
+                echo(m, s);
+                return;
+            }
+            first.get().getOutputStream().write(ok("for one"));
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        assertEquals("for one", c.send(order("one", "b")).receive().text());
+        clock.aheadMs = 25; // so much later than the first one a copy has been seen
+        assertEquals("for two", c.send(order("two", "b")).receive().text());
+    }
+
+    @Test
+    void aConnectionThatHasRestedIsUsedAgain() throws Exception {
+        clock.stands = true;
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        Server host = kept(new Server((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        for (int i = 0; i < 3; i++) {
+            assertEquals("for o" + i, c.send(order("o" + i, "b")).receive().text());
+            clock.aheadMs += 45; // less than the shortest time for which a connection is trusted
+        }
+        assertEquals(1, used.size());
+    }
 }
