--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -38,11 +38,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -58,6 +62,7 @@
     private static final double TRUST_CUT = 0.8; // of the idle time at which a connection was found ended
     private static final double TRUST_GROWTH = 1.02; // a sweep, so that a spell of early closes passes
     private static final double PROMPT_MS = 50; // a reset so soon after a request: the host had closed before it
+    private static final double REST_MS = 30; // a second copy of an answer may come some milliseconds after the first
     private static final long SWEEP_MS = 500;
     private static final int MOST_KEPT = 64 * 1024; // of an answer: beyond this it is passed on as it comes
     private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
@@ -83,6 +88,20 @@
     /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
     abstract static class Exchange {
         private Connection connection;
+        private boolean begun;
+
+        /** Whether something of it may have left: until then it waits for a connection to come up. */
+        final boolean begun() {
+            return begun;
+        }
+
+        /** Its host takes nothing new any more, and it had to wait for a connection there. */
+        private void turnBack() {
+            if (connection != null && !begun) {
+                abandon();
+                ended(Outcome.FULL, null);
+            }
+        }
 
         /** How it ended; the response, where there is one, is only lent. */
         abstract void ended(Outcome outcome, FullHttpResponse response);
@@ -112,6 +131,7 @@
         final InetSocketAddress address;
         final double startedMs;
         final ArrayDeque<Connection> idle = new ArrayDeque<>(); // the last used at the end
+        final Set<Connection> rising = new LinkedHashSet<>(); // each for what waits for it
         private final double mostIdleMs;
         double trustMs; // idle for longer than this, a connection is not used again
         boolean closed;
@@ -130,6 +150,10 @@
             }
         }
 
+        void strand(List<Exchange> stranded) {
+            rising.stream().map(c -> c.exchange).filter(Objects::nonNull).forEach(stranded::add);
+        }
+
         void trustAgain() {
             trustMs = Math.min(mostIdleMs, trustMs * TRUST_GROWTH);
         }
@@ -137,7 +161,13 @@
 
     // ---- the list
 
-    void listed(ListKind kind, List<Discovery.Entry> entries) {
+    /**
+     * Takes the list over. What still waits for a connection to a host that is to get nothing new, or for one to a
+     * former life of a host, would be sent by the time that it comes up: the caller turns it back, once the module
+     * knows the list too.
+     */
+    Runnable listed(ListKind kind, List<Discovery.Entry> entries) {
+        List<Exchange> stranded = new ArrayList<>();
         Set<String> named = new HashSet<>();
         for (Discovery.Entry e : entries) {
             String id = e.host().id();
@@ -146,21 +176,24 @@
             boolean same = old != null && old.address.equals(e.address()) && old.startedMs == e.host().startedMs();
             if (e.host().state() == HostState.GONE) {
                 pools.remove(id);
-                close(old);
+                close(old, stranded);
             } else if (!same) {
                 pools.put(id, new Pool(e.address(), e.host().startedMs(), node.config.idleMs() * IDLE_SHARE));
-                close(old);
+                close(old, stranded);
+            } else if (e.host().state() == HostState.DRAINING) {
+                old.strand(stranded);
             }
         }
         if (kind != ListKind.CHANGES) {
             pools.entrySet().removeIf(p -> {
                 boolean absent = !named.contains(p.getKey());
                 if (absent) {
-                    close(p.getValue());
+                    close(p.getValue(), stranded);
                 }
                 return absent;
             });
         }
+        return () -> stranded.forEach(Exchange::turnBack);
     }
 
     /** From any thread: how many connections to hosts are open or come up. */
@@ -173,8 +206,9 @@
         return pools.size();
     }
 
-    private void close(Pool pool) {
+    private void close(Pool pool, List<Exchange> stranded) {
         if (pool != null) {
+            pool.strand(stranded);
             pool.closed = true;
             List<Connection> ended = List.copyOf(pool.idle);
             pool.idle.clear();
@@ -278,14 +312,10 @@
             x.ended(Outcome.CONNECT_FAILED, null); // its address was taken from the list
             return;
         }
-        for (Connection c = pool.idle.pollLast(); c != null; c = pool.idle.pollLast()) {
-            double idleMs = node.clock.now() - c.idleSince;
-            if (c.channel.isActive() && idleMs <= pool.trustMs) {
-                c.idleBeforeMs = idleMs;
-                c.write(x, message.build());
-                return;
-            }
-            c.channel.close();
+        Connection kept = takeIdle(pool);
+        if (kept != null) {
+            kept.write(x, message.build());
+            return;
         }
         if (!room()) {
             x.ended(Outcome.CONNECT_FAILED, null);
@@ -294,6 +324,28 @@
         connect(pool, x, message);
     }
 
+    /**
+     * The connection used last that has rested since its answer: a second copy of that, which may come late, would
+     * be read as the answer to what is asked on it next.
+     */
+    private Connection takeIdle(Pool pool) {
+        double now = node.clock.now();
+        for (Iterator<Connection> lastFirst = pool.idle.descendingIterator(); lastFirst.hasNext();) {
+            Connection c = lastFirst.next();
+            double idleMs = now - c.idleSince;
+            if (idleMs < REST_MS) {
+                continue;
+            }
+            lastFirst.remove();
+            if (c.channel.isActive() && idleMs <= pool.trustMs) {
+                c.idleBeforeMs = idleMs;
+                return c;
+            }
+            c.channel.close();
+        }
+        return null;
+    }
+
     private interface Message {
         HttpRequest build();
     }
@@ -301,6 +353,7 @@
     private void connect(Pool pool, Exchange x, Message message) {
         connections++;
         Connection c = new Connection(pool);
+        pool.rising.add(c);
         c.exchange = x;
         x.connection = c;
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
@@ -311,6 +364,7 @@
             }
         }).connect(pool.address);
         connecting.addListener(f -> {
+            pool.rising.remove(c);
             if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
                 connections--;
                 c.lost();
@@ -349,6 +403,7 @@
         void write(Exchange x, HttpRequest message) {
             exchange = x;
             x.connection = this;
+            x.begun = true;
             written = false;
             wroteAt = node.clock.now();
             if (message instanceof FullHttpRequest) {
--- /dev/null
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -0,0 +1,254 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.ok;
+import static deckfall.net.Sockets.order;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Events;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import deckfall.net.Sockets.Unreachable;
+import java.io.Closeable;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Two events that cross, in the bad order each time: one end of each is in the test's hands. */
+class CrossingTest {
+    private static final int HELD_FROM = 8; // requests for one host; from here on they wait for a place
+    private final Deque<Closeable> ends = new ArrayDeque<>();
+    private final BlockingQueue<Request> asked = new LinkedBlockingQueue<>(); // after the module has acted on it
+    private final BlockingQueue<AttemptResult> results = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> left = new LinkedBlockingQueue<>(); // whose client the module knows to be gone
+    private final Hand clock = new Hand();
+    private Registry registry;
+
+    /** A clock that goes on by itself, or stands where the test has put it. */
+    private static final class Hand extends Clock {
+        private final double startMs = super.now();
+        private volatile boolean stands;
+        private volatile double aheadMs;
+
+        @Override
+        double now() {
+            return stands ? startMs + aheadMs : super.now();
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Closeable c : ends) {
+            c.close();
+        }
+    }
+
+    private <T extends Closeable> T kept(T end) {
+        ends.push(end);
+        return end;
+    }
+
+    private static void echo(Message m, Socket s) throws IOException {
+        s.getOutputStream().write(ok("for " + m.header("X-Trace-Id")));
+    }
+
+    private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(next, "nothing came");
+        return next;
+    }
+
+    private Outcome resultOf(String id) throws InterruptedException {
+        AttemptResult result = next(results);
+        return result.id().equals(id) ? result.outcome() : resultOf(id);
+    }
+
+    /** Connections may take as long as requests to come up. */
+    private Node node(Function<Actions, Events> module, UnaryOperator<String> change, String... entries)
+            throws IOException {
+        registry = kept(new Registry(list(1, true, entries)));
+        String config = Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("\"connect_timeout_ms\": 5000", "\"connect_timeout_ms\": 60000");
+        Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(change.apply(config))), module, clock);
+        ends.push(node::stop);
+        node.start();
+        return node;
+    }
+
+    private Client client(Node node) throws IOException {
+        return kept(new Client(node));
+    }
+
+    /** A module that sends each request to one host. */
+    private Function<Actions, Events> sending(String host) {
+        return act -> new Scripted((now, r) -> {
+            act.send(r.id(), host, 0);
+            asked.add(r);
+        }, results::add);
+    }
+
+    /** The module itself, with what it was told of noted once it has acted on it. */
+    private Events noted(Actions act) {
+        Brain brain = new Brain(act);
+        return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
+                (proxy, method, args) -> {
+                    Object answer = method.invoke(brain, args);
+                    switch (method.getName()) {
+                        case "request" -> asked.add((Request) args[1]);
+                        case "attemptEnded" -> results.add((AttemptResult) args[1]);
+                        case "clientLeft" -> left.add((String) args[1]);
+                        default -> { }
+                    }
+                    return answer;
+                });
+    }
+
+    /** The first byte counts: it would go to a draining host whenever the connection comes up. */
+    @Test
+    void whatWaitsForAConnectionToAHostGoesElsewhereOnceThatDrains() throws Exception {
+        for (String state : new String[] {"draining", "gone"}) {
+            Unreachable slow = kept(new Unreachable());
+            Server other = kept(new Server(CrossingTest::echo));
+            Node node = node(this::noted, c -> c, entry("h0", slow.address(), "ready"));
+            Client c = client(node).send(order("o", "b"));
+            assertEquals("o", next(asked).id());
+            registry.news.add(list(2, false, entry("h0", slow.address(), state), entry("h1", other.address(), "ready")));
+            assertEquals("for o", c.receive().text());
+            assertEquals(Outcome.FULL, next(results).outcome());
+            assertEquals(Outcome.OK, next(results).outcome());
+        }
+    }
+
+    /** The same where a host has restarted, or has left the list without a word. */
+    @Test
+    void whatWaitsForAConnectionToAFormerLifeOfAHostIsTurnedBack() throws Exception {
+        String[] lists = {list(2, true), list(2, false, entry("h0", "127.0.0.1:1", "ready"))};
+        for (String news : lists) {
+            Unreachable slow = kept(new Unreachable());
+            Node node = node(sending("h0"), c -> c, entry("h0", slow.address(), "ready"));
+            client(node).send(order("o", "b"));
+            assertEquals("o", next(asked).id());
+            registry.news.add(news);
+            assertEquals(Outcome.FULL, next(results).outcome());
+        }
+    }
+
+    /** Settings that forbid to cancel speak of what has been sent; what has not must not be, for nobody. */
+    @Test
+    void aRequestWhoseClientLeftBeforeItsConnectionCameUpIsNeverSent() throws Exception {
+        for (String cancel : new String[] {"true", "false"}) {
+            Unreachable slow = kept(new Unreachable());
+            Node node = node(this::noted, c -> c.replace("\"cancel\": true", "\"cancel\": " + cancel),
+                    entry("h0", slow.address(), "ready"));
+            Client c = client(node).send(order("o" + cancel, "b"));
+            next(asked);
+            c.close();
+            assertEquals("o" + cancel, next(left));
+            assertEquals(Outcome.MOOT, resultOf("o" + cancel));
+            client(node).send(order("p", "b"));
+            next(asked);
+            try (Socket came = slow.accept()) {
+                assertEquals("p", Sockets.read(came.getInputStream()).header("X-Trace-Id"));
+            }
+        }
+    }
+
+    /** It holds its place in the queue no longer, and none at a host. */
+    @Test
+    void aRequestWhoseClientLeftWhileItWasHeldIsNeverSent() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server host = kept(new Server((m, s) -> {
+            go.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < HELD_FROM; i++) {
+            clients.add(client(node).send(order("o" + i, "b")));
+            next(asked);
+        }
+        Client gone = client(node).send(order("gone", "b"));
+        next(asked);
+        gone.close();
+        assertEquals("gone", next(left));
+        go.countDown();
+        clients.add(client(node).send(order("o" + HELD_FROM, "b"))); // behind the one that left
+        for (int i = 0; i <= HELD_FROM; i++) {
+            assertEquals("for o" + i, clients.get(i).receive().text());
+        }
+        assertTrue(host.asked.stream().noneMatch(m -> m.header("X-Trace-Id").equals("gone")));
+    }
+
+    /** A connection that never came up proves that nothing has run, also where the client's time ends it. */
+    @Test
+    void whatTheClientsTimeEndsBeforeItsConnectionCameUpIsRefused() throws Exception {
+        Unreachable slow = kept(new Unreachable());
+        Node node = node(this::noted, c -> c.replace("by_key", "once"), entry("h0", slow.address(), "ready"));
+        String soon = order("o", "b").replace("X-Expires-In-Ms: " + Sockets.PATIENCE_MS, "X-Expires-In-Ms: 300");
+        assertEquals(429, client(node).send(soon).receive().status());
+        assertEquals(Outcome.CONNECT_FAILED, next(results).outcome());
+    }
+
+    /** The copy comes once the next request has been written, on whichever connection that took. */
+    @Test
+    void aSecondAnswerThatComesLateReachesNoOtherRequest() throws Exception {
+        clock.stands = true;
+        AtomicReference<Socket> first = new AtomicReference<>();
+        Server host = kept(new Server((m, s) -> {
+            if (first.compareAndSet(null, s)) {
+                echo(m, s);
+                return;
+            }
+            first.get().getOutputStream().write(ok("for one"));
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        assertEquals("for one", c.send(order("one", "b")).receive().text());
+        clock.aheadMs = 25; // so much later than the first one a copy has been seen
+        assertEquals("for two", c.send(order("two", "b")).receive().text());
+    }
+
+    @Test
+    void aConnectionThatHasRestedIsUsedAgain() throws Exception {
+        clock.stands = true;
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        Server host = kept(new Server((m, s) -> {
+            used.add(s);
+            echo(m, s);
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        for (int i = 0; i < 3; i++) {
+            assertEquals("for o" + i, c.send(order("o" + i, "b")).receive().text());
+            clock.aheadMs += 45; // less than the shortest time for which a connection is trusted
+        }
+        assertEquals(1, used.size());
+    }
+}
