Count a message as begun from its first line, not only while a line of it is unread

Root cause: StrictResponseDecoder.holdsBytes and StrictRequestDecoder.holdsBytes asked the decoder for unread bytes. It takes a head in line by line, so after a whole line there are none: HostClient.keepOrClose kept a connection on which a second answer had begun, whose rest then ended the next request's exchange; and a client's later request that stopped behind a line was taken for an idle connection, never told 408 and closed first.

Found by reading. Tests: a host whose second answer stops behind its first line and goes on once the next request has been written (without the mend that request is served the text "fake"), and a client that stops behind its request line (without the mend no word ever comes). A blank line before a request is still none of it.

--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -1,13 +1,26 @@
 package deckfall.net;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 
 /**
  * Reads clients' requests, and calls one whose length can be read in two ways malformed. Netty's own reading drops
  * the Content-Length beside chunks, as whoever stands in between may not.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
+    private final Begun begun = new Begun();
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int from = in.readerIndex();
+        int had = out.size();
+        super.decode(ctx, in, out);
+        begun.stepped(in, from, out, had);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
@@ -15,6 +28,6 @@
 
     /** True where bytes have come that are no whole message yet. */
     boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+        return actualReadableBytes() > 0 || begun.inside();
     }
 }
--- a/src/main/java/deckfall/net/StrictResponseDecoder.java
+++ b/src/main/java/deckfall/net/StrictResponseDecoder.java
@@ -1,13 +1,26 @@
 package deckfall.net;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 
 /**
  * Reads a host's answers, and calls one with a header line that is no header unreadable. Netty's own reading of
  * responses ends a name at the first blank, so a line without a colon passes there as a header without a value.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
+    private final Begun begun = new Begun();
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int from = in.readerIndex();
+        int had = out.size();
+        super.decode(ctx, in, out);
+        begun.stepped(in, from, out, had);
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         if (line[start + length] != ':') { // there is a byte: the name ends before a colon or a blank
@@ -18,6 +31,6 @@
 
     /** True where bytes have come that are no whole message yet. */
     boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+        return actualReadableBytes() > 0 || begun.inside();
     }
 }
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -1,5 +1,6 @@
 package deckfall.net;
 
+import static deckfall.net.Sockets.bytes;
 import static deckfall.net.Sockets.entry;
 import static deckfall.net.Sockets.list;
 import static deckfall.net.Sockets.ok;
@@ -20,6 +21,7 @@
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import deckfall.net.Sockets.Unreachable;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
@@ -50,18 +52,6 @@
     private final Hand clock = new Hand();
     private Registry registry;
 
-    /** A clock that goes on by itself, or stands where the test has put it. */
-    private static final class Hand extends Clock {
-        private final double startMs = super.now();
-        private volatile boolean stands;
-        private volatile double aheadMs;
-
-        @Override
-        double now() {
-            return stands ? startMs + aheadMs : super.now();
-        }
-    }
-
     @AfterEach
     void close() throws IOException {
         for (Closeable c : ends) {
@@ -251,4 +241,45 @@
         }
         assertEquals(1, used.size());
     }
+
+    /** The first line of a second answer is taken in at once; its rest comes once the next request has been written. */
+    @Test
+    void anAnswerThatHasOnlyBegunReachesNoOtherRequest() throws Exception {
+        clock.stands = true;
+        AtomicReference<Socket> first = new AtomicReference<>();
+        Server host = kept(new Server((m, s) -> {
+            boolean begins = first.compareAndSet(null, s);
+            byte[] rest = bytes(begins ? "HTTP/1.1 200 OK\r\n" : "Content-Length: 4\r\n\r\nfake");
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            if (begins) {
+                all.write(ok("for " + m.header("X-Trace-Id")));
+            }
+            all.write(rest);
+            first.get().getOutputStream().write(all.toByteArray());
+            if (!begins && s != first.get()) {
+                echo(m, s);
+            }
+        }));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        assertEquals("for one", c.send(order("one", "b")).receive().text());
+        clock.aheadMs = 45; // the connection has rested, and would be trusted
+        assertEquals("for two", c.send(order("two", "b")).receive().text());
+    }
+
+    /** A head that stops behind a whole line is as little a request as one that stops inside a line. */
+    @Test
+    void aLaterRequestThatStopsBehindALineIsToldSo() throws Exception {
+        clock.stands = true;
+        Server host = kept(new Server(CrossingTest::echo));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        assertEquals("for one", c.send(order("one", "b")).receive().text());
+        c.send("\r\nGET /view/x HTTP/1.1\r\n");
+        Client other = client(node);
+        assertEquals("for two", other.send(order("two", "b")).receive().text()); // what came before has been read
+        clock.aheadMs = 2600;
+        assertEquals(408, c.receive().status());
+        assertEquals("for three", other.send("\r\n" + order("three", "b")).receive().text());
+    }
 }
