Take a drain's times from the longest deadline, and leave nothing open once they are up

Root cause: Node.DRAIN_MS was 3 s and idle connections were closed by 2.5 s whatever the settings, while SIGKILL comes the longest deadline (3 s at most) and 0.7 s after SIGTERM: with deadlines of 0.9 s that is 1.6 s, and what came on a new connection after 0.7 s was lost with it. From then on, too, new requests were taken and could be held for want of a host, and half read requests stayed open.

Drain.answerByMs and acceptByMs follow the settings; at that time all is answered, the listener and everything without an answer under way is closed, and what still comes is refused. What was never sent is refused (503), not failed. Tests: DrainTest, all four fail without the mend (3000 ms told for a kill at 800; 408 long after; 502 where nothing was sent; a new connection closed unasked). Ruled out by reading: SIGTERM twice (the virtual machine ignores the second), before ready (no client was let in), across SIGHUP (a thread of its own).

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -148,6 +148,12 @@
         }
     }
 
+    /** Leaves open only what an answer is on its way on: whoever has sent a part of a request is told no. */
+    void closeAll() {
+        stopAccepting();
+        List.copyOf(connections).forEach(Connection::closeUnanswered);
+    }
+
     boolean idle() {
         return connections.isEmpty();
     }
@@ -237,6 +243,14 @@
             }
         }
 
+        private void closeUnanswered() {
+            if (incoming != null && !ended) {
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            } else if (!busy && !ended) {
+                channel.close();
+            }
+        }
+
         private void expel() {
             keepAlive = false;
             busy = true;
@@ -426,7 +440,7 @@
         }
 
         private boolean refusesAll() {
-            return node.full() || node.room.full();
+            return node.full() || node.room.full() || node.over();
         }
 
         private void refuseAtDoor(Request read) {
--- a/src/main/java/deckfall/net/Drain.java
+++ b/src/main/java/deckfall/net/Drain.java
@@ -1,17 +1,22 @@
 package deckfall.net;
 
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Settings;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Empties a gateway of its clients, for an operator and at its end alike: the front is told no, new connections are
- * served while it learns of that, open ones are told to close with their next answer, and idle ones are closed.
+ * served while it learns of that, open ones are told to close with their next answer, and quiet ones are closed.
  * While it goes on, {@link #resume} takes it back.
  */
 final class Drain {
     static final long ACCEPT_ON_MS = 500; // new connections still come, and their requests are not to cross a close
     static final double QUIET_MS = 300; // a connection in use is closed with an answer instead, if one comes
-    static final long ALL_IDLE_MS = 2500; // from here on an idle connection is closed however lately it was used
+    private static final double KILLED_MS = 700; // after SIGTERM, and after the longest deadline
+    private static final double LONGEST_MS = 3000; // that a deadline counts for there
+    private static final double SPARE_MS = 300; // before that, for the answers to reach their clients
+    private static final double LISTENED_MS = 200; // before that, so that who was accepted last can still ask
     static final double CROSSING_MS = 100; // a client that finds its connection closed comes on a new one at once
     private static final long SWEEP_MS = 50;
 
@@ -20,7 +25,6 @@
     private final ClientServer clients;
     private volatile boolean on;
     private boolean sweeping; // on the event loop, as all below
-    private double since;
 
     Drain(EventLoop loop, Clock clock, ClientServer clients) {
         this.loop = loop;
@@ -34,12 +38,25 @@
         loop.execute(() -> {
             if (on && !sweeping) {
                 sweeping = true;
-                since = clock.now();
                 loop.schedule(this::sweep, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
+    /**
+     * From SIGTERM until all must be answered: SIGKILL comes the longest deadline later and somewhat more, and what
+     * it finds open is lost.
+     */
+    static long answerByMs(Settings settings) {
+        double longest = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(LONGEST_MS);
+        return (long) Math.max(0, Math.min(LONGEST_MS, longest) + KILLED_MS - SPARE_MS);
+    }
+
+    /** From SIGTERM until nobody new may be let in, however many still come. */
+    static long acceptByMs(Settings settings) {
+        return (long) Math.max(ACCEPT_ON_MS, answerByMs(settings) - LISTENED_MS);
+    }
+
     /** From any thread: clients are taken again at once. */
     void resume() {
         on = false;
@@ -52,7 +69,7 @@
     private void sweep() {
         sweeping = on;
         if (on) {
-            clients.closeIdle(clock.now() - since < ALL_IDLE_MS ? QUIET_MS : 0);
+            clients.closeIdle(QUIET_MS);
             loop.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         }
     }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -40,7 +40,6 @@
  */
 public final class Node implements Actions {
     private static final double MARGIN_MS = 20; // the answer must reach the client within its time
-    private static final long DRAIN_MS = 3000; // after SIGTERM: what is open then ends, well before SIGKILL
     private static final long EXIT_MS = 30_000; // after SIGTERM: long answers have had their time, if there is any
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long SURVEY_MS = 100; // how often the figures on hosts are brought up to date
@@ -607,7 +606,8 @@
     private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
         ClientServer.Connection client = r == null ? null : close(r);
         if (client != null) {
-            boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+            boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                    || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
             tally.add(refused ? Tally.Count.REFUSED : Tally.Count.FAILED);
             figures.ended(r.request.requestClass(), refused ? Figures.End.OVERLOAD : Figures.End.ERROR);
             client.answer(status, retryAfterMs);
@@ -662,20 +662,29 @@
     void drain() {
         ending = true;
         drain.begin();
-        double latest = clock.now() + Drain.ALL_IDLE_MS;
+        double latest = clock.now() + Drain.acceptByMs(config.settings());
         loop.schedule(() -> stopAccepting(latest), clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS + POLL_MS,
                 TimeUnit.MILLISECONDS); // after the first sweep, which is due at the same time
-        loop.schedule(() -> {
-            over = true;
-            for (OpenRequest r : List.copyOf(open.values())) {
-                endAttempts(r); // the module refuses or fails it, as its further attempts are void now
-            }
-            for (OpenRequest r : List.copyOf(open.values())) {
-                if (!r.closed()) { // still held
-                    answer(r, HttpResponseStatus.BAD_GATEWAY, 0);
-                }
+        loop.schedule(this::answerAll, Drain.answerByMs(config.settings()), TimeUnit.MILLISECONDS);
+    }
+
+    /** The drain's time is up: whatever is open is answered now, and so is whatever still comes. */
+    void answerAll() {
+        over = true;
+        for (OpenRequest r : List.copyOf(open.values())) {
+            endAttempts(r); // the module refuses or fails it, as its further attempts are void now
+        }
+        for (OpenRequest r : List.copyOf(open.values())) {
+            if (!r.closed()) { // still held: what was never sent is refused, as coming again does no harm
+                answer(r, r.attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                        : HttpResponseStatus.BAD_GATEWAY, 0);
             }
-        }, DRAIN_MS, TimeUnit.MILLISECONDS);
+        }
+        clients.closeAll();
+    }
+
+    boolean over() {
+        return over;
     }
 
     /** Not in the turn that closes idle connections: what their clients ask anew would wait in a closed listener. */
--- /dev/null
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -0,0 +1,128 @@
+package deckfall.net;
+
+import static deckfall.net.Sockets.entry;
+import static deckfall.net.Sockets.list;
+import static deckfall.net.Sockets.order;
+import static deckfall.net.Sockets.view;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Brain;
+import deckfall.Gateway.Settings;
+import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Registry;
+import deckfall.net.Sockets.Server;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The end of a process: what SIGKILL would find open is lost, and it comes by the settings' longest deadline. */
+class DrainTest {
+    private static final double KILLED_MS = 700;
+    private final Deque<Closeable> ends = new ArrayDeque<>();
+
+    @AfterEach
+    void close() throws IOException {
+        for (Closeable c : ends) {
+            c.close();
+        }
+    }
+
+    private <T extends Closeable> T kept(T end) {
+        ends.push(end);
+        return end;
+    }
+
+    private static Settings settings(int longestMs) throws Exception {
+        String config = Sockets.config("127.0.0.1:1", "127.0.0.1:0")
+                .replace("\"hard_limit_ms\": 60000}]", "\"hard_limit_ms\": " + longestMs + "}]")
+                .replace("\"hard_limit_ms\": 60000", "\"hard_limit_ms\": 100");
+        return NodeConfig.of(new ObjectMapper().readTree(config)).settings();
+    }
+
+    @Test
+    void allIsAnsweredBeforeTheKillWhateverTheDeadlines() throws Exception {
+        for (int longest : new int[] {100, 400, 900, 2500, 3000, 15_000}) {
+            double kill = Math.min(3000, longest) + KILLED_MS;
+            long answerBy = Drain.answerByMs(settings(longest));
+            assertTrue(answerBy <= kill - 200, longest + ": " + answerBy);
+            assertTrue(answerBy >= kill / 2, longest + ": " + answerBy);
+            assertTrue(Drain.acceptByMs(settings(longest)) <= Math.max(Drain.ACCEPT_ON_MS, answerBy), "" + longest);
+        }
+        assertEquals(3400, Drain.answerByMs(settings(15_000)));
+    }
+
+    private Node node(String... entries) throws IOException {
+        Registry registry = kept(new Registry(list(1, true, entries)));
+        Node node = Sockets.node(Sockets.config(registry.server.address(), "127.0.0.1:0"));
+        ends.push(node::stop);
+        return node;
+    }
+
+    private Client client(Node node) throws IOException {
+        return kept(new Client(node));
+    }
+
+    /** Held, out at a host that hangs, half read in its head or body, not begun: none of it stays open. */
+    @Test
+    void nothingStaysOpenOnceTheTimeIsUp() throws Exception {
+        Server hangs = kept(new Server((m, s) -> { }));
+        Node node = node(entry("h0", hangs.address(), "ready"));
+        Client out = client(node).send(order("out", "b"));
+        assertNotNull(hangs.next());
+        Client half = client(node).send("GET /view/x HTT");
+        Client body = client(node).send(order("body", "whole").replace("whole", "ha"));
+        Client fresh = client(node);
+        Client last = client(node); // what came before is known to have been read once this one is answered
+        assertEquals(200, last.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
+        node.loop.submit(node::drain).sync();
+        node.loop.submit(node::answerAll).sync();
+        assertEquals(502, out.receive().status());
+        assertEquals(503, body.receive().status());
+        for (Client c : new Client[] {half, fresh, last, out}) {
+            assertNull(c.receive());
+        }
+        body.close();
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    @Test
+    void whatIsHeldAtTheEndAndWasNeverSentIsRefused() throws Exception {
+        Node node = node();
+        Client held = client(node).send(view("v", Sockets.PATIENCE_MS));
+        Client known = client(node);
+        assertEquals(200, known.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
+        node.loop.submit(node::drain).sync();
+        node.loop.submit(node::answerAll).sync();
+        assertEquals(503, held.receive().status());
+        assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
+    }
+
+    /** In a drain that has gone on for long, whoever comes newly still has time to ask. */
+    @Test
+    void aDrainOfAnyAgeLeavesANewConnectionTimeToAsk() throws Exception {
+        Server host = kept(new Server((m, s) -> s.getOutputStream().write(Sockets.ok("x"))));
+        Registry registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
+        Hand clock = new Hand();
+        clock.stands = true;
+        Node node = new Node(NodeConfig.of(new ObjectMapper()
+                .readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))), Brain::new, clock);
+        ends.push(node::stop);
+        node.start();
+        Client idle = client(node);
+        assertEquals(200, idle.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
+        node.operations().quiesce();
+        clock.aheadMs = 10_000;
+        assertNull(idle.receive()); // from here on there is a sweep every 50 ms
+        Client c = client(node);
+        node.loop.schedule(() -> { }, 150, TimeUnit.MILLISECONDS).sync();
+        assertEquals(200, c.send(view("v", Sockets.PATIENCE_MS)).receive().status());
+    }
+}
