Take only plain finite numbers for the counter's totals

Root cause: CounterClient read a total with Double.parseDouble, which also takes NaN, Infinity, 1e999, 0x1p3 and 7d. A total of no size made Brain.learnTotal's level NaN, below which no request is, so that the customer was let in without a quota for good. The call of an answer without a number waited for its time-out, and lines behind that answer still ended other calls.

Now the call ends as one that may have been added, with its connection, at once.

--- a/src/main/java/deckfall/net/CounterClient.java
+++ b/src/main/java/deckfall/net/CounterClient.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /** Calls the shared counter: calls one behind another on one connection, whose answers come in the same order. */
 final class CounterClient {
@@ -23,6 +24,7 @@
     private static final long AGAIN_MS = 200;
     private static final double STUCK_MS = 5000; // the oldest call's age at which the connection is given up
     private static final int LONGEST_LINE = 512;
+    private static final Pattern NUMBER = Pattern.compile("\\s*[-+]?(\\d+(\\.\\d*)?|\\.\\d+)([eE][-+]?\\d+)?\\s*");
     private static final String VERB = "*4\r\n$6\r\nADDGET\r\n";
 
     private final Node node;
@@ -113,6 +115,15 @@
         return "$" + text.length() + "\r\n" + text + "\r\n";
     }
 
+    /** Java also reads words and letters as numbers; a total of no size would spoil all that is reckoned from it. */
+    private static double number(String text) {
+        double number = NUMBER.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
+        if (!Double.isFinite(number)) {
+            throw new NumberFormatException(text);
+        }
+        return number;
+    }
+
     /** Replies of the Redis protocol: an error's line, or a length's line and the total's. */
     private final class Answers extends SimpleChannelInboundHandler<ByteBuf> {
         private boolean totalFollows;
@@ -127,23 +138,27 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            if (!ctx.channel().isActive()) {
+                return; // behind an answer that could not be read
+            }
             String text = line.toString(StandardCharsets.US_ASCII);
             if (!totalFollows && text.startsWith("$") && !text.startsWith("$-")) {
                 totalFollows = true;
                 return;
             }
-            Call call = out.poll();
+            Call call = out.peek(); // ends with the connection where its answer holds no number
             boolean total = totalFollows;
             totalFollows = false;
             if (call == null) {
                 ctx.close(); // more answers than calls: none can be told from another
             } else if (total) {
-                call.end(Outcome.OK, Double.parseDouble(text));
+                call.end(Outcome.OK, number(text));
             } else if (text.startsWith("-")) {
                 call.end(Outcome.FULL, 0);
             } else {
                 throw new NumberFormatException(text);
             }
+            out.poll();
         }
 
         /** What had been written may have been added. */
