Take no list whose kind, entries or ids are missing or doubled

Root cause: Discovery read "full" and "servers" with defaults, so that {"version":8,"full":true} was a whole list of no hosts: every host was dropped and every request refused until the next change. Entries without an id, and two of one id, were taken too. Such a list now leaves the last one in force like any other malformed one. Found by reading; no play showed it. Without the mend the test sees the version of the malformed list asked from.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -29,8 +29,10 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.StringJoiner;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -158,9 +160,9 @@
             try (InputStream in = new ByteBufInputStream(response.content())) {
                 list = json.readTree(in);
             }
-            boolean whole = list.path("full").asBoolean();
-            List<Entry> entries = entries(list);
+            boolean whole = whole(list);
             long told = version(list);
+            List<Entry> entries = entries(list);
             failing = false;
             failures = 0;
             backoff.reset();
@@ -207,6 +209,13 @@
         return text.toString();
     }
 
+    private static boolean whole(JsonNode list) {
+        if (!list.path("full").isBoolean() || !list.path(LIST).isArray()) {
+            throw new IllegalArgumentException("a list that does not say what it is");
+        }
+        return list.path("full").asBoolean();
+    }
+
     /** A list that tells no version can't be watched on from; it is as malformed as one with an unknown state. */
     private static long version(JsonNode list) {
         if (!list.path("version").isIntegralNumber()) {
@@ -218,7 +227,11 @@
     /** The entries of a list in discovery's form; malformed ones are an {@link IllegalArgumentException}. */
     static List<Entry> entries(JsonNode list) {
         List<Entry> entries = new ArrayList<>();
+        Set<String> ids = new HashSet<>();
         for (JsonNode e : list.path(LIST)) {
+            if (!e.path("id").isTextual() || e.path("id").asText().isEmpty() || !ids.add(e.path("id").asText())) {
+                throw new IllegalArgumentException("an entry without an id of its own");
+            }
             HostState state = switch (e.path("state").asText()) {
                 case "ready" -> HostState.RUNNING;
                 case "draining" -> HostState.DRAINING;
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -117,10 +117,15 @@
         answers.add("{\"servers\":[" + entry("a", host.address(), DRAINED) + "]}");
         answers.add(list(9, false, entry("a", host.address(), DRAINED), entry("b", host.address(), "odd")));
         answers.add("[]");
+        answers.add("{\"version\":8,\"full\":true}");
+        answers.add("{\"version\":8,\"full\":true,\"servers\":{}}");
+        answers.add("{\"version\":8,\"servers\":[]}");
+        answers.add(list(8, true, entry("", host.address(), DRAINED)));
+        answers.add(list(8, true, entry("a", host.address(), "ready"), entry("a", host.address(), DRAINED)));
         answers.add("");
         answers.add(list(7, false));
         Node node = node(discovery, list(7, true, entry("a", host.address(), "ready")));
-        for (int i = 0; i < 5; i++) {
+        for (int i = 0; i < 10; i++) {
             assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
         }
         assertEquals(200, status(node, "one"));
