Let no list of an older version take back that a host drains or is gone

Root cause: Discovery took a whole list of any version as it stood. One of an older version, as from an agent that has fallen behind or an address of before, named hosts as ready that had been told to drain or to be gone, and they got new requests. Changes of an older version were asked anew already; the whole list that this brings was not held against what was known.

Leaving keeps, bounded, in which life of its process a host was told to leave; a list older than the newest heard can't say otherwise of that life, while a restart counts at once. Found by reading.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -54,7 +54,12 @@
     private static final int MAX_LIST = 4 << 20;
 
     /** A host with the address at which this api gateway reaches it. */
-    record Entry(Host host, InetSocketAddress address) { }
+    record Entry(Host host, InetSocketAddress address) {
+        Entry in(HostState state) {
+            return new Entry(new Host(host.id(), host.zone(), host.kind(), host.cell(), state, host.rating(),
+                    host.startedMs()), address);
+        }
+    }
 
     private final Node node;
     private final ObjectMapper json = new ObjectMapper();
@@ -66,6 +71,7 @@
     private int failures; // in a row
     private long version; // -1: the whole list is still to come
     private boolean behind = true; // what has changed since that version is still to come
+    private final Leaving leaving = new Leaving();
     private final CountDownLatch listed = new CountDownLatch(1);
 
     Discovery(Node node) {
@@ -162,7 +168,7 @@
             }
             boolean whole = whole(list);
             long told = version(list);
-            List<Entry> entries = entries(list);
+            List<Entry> entries = leaving.heard(told, whole, entries(list));
             failing = false;
             failures = 0;
             backoff.reset();
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -130,4 +130,43 @@
         }
         assertEquals(200, status(node, "one"));
     }
+
+    /** As of an agent that has fallen behind: what was told stays told for that life of a host. */
+    @Test
+    void anOlderListTakesNoDrainBack() throws Exception {
+        Server drains = kept(new Server(DiscoveryTest::echo));
+        Server gone = kept(new Server(DiscoveryTest::echo));
+        Server ready = kept(new Server(DiscoveryTest::echo));
+        Server discovery = discovery();
+        String[] old = {entry("a", drains.address(), "ready"), entry("b", gone.address(), "ready"),
+            entry("c", ready.address(), "ready")};
+        answers.add(list(9, false, entry("a", drains.address(), DRAINED), entry("b", gone.address(), "gone"),
+                entry("d", gone.address(), "ready")));
+        answers.add(list(10, true, old[2], entry("a", drains.address(), DRAINED)));
+        answers.add(list(8, true, old[0], old[1], old[2], entry("d", gone.address(), "ready")));
+        answers.add(list(8, false));
+        Node node = node(discovery, list(7, true, old));
+        for (int i = 0; i < 5; i++) {
+            asked(discovery); // the last call is made before its answer is told, so:
+        }
+        node.loop.submit(() -> { }).sync();
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, status(node, "v" + i));
+        }
+        assertEquals(0, drains.asked.size() + gone.asked.size());
+    }
+
+    @Test
+    void anOlderListStillTellsOfAHostThatHasRestarted() throws Exception {
+        Server host = kept(new Server(DiscoveryTest::echo));
+        Server discovery = discovery();
+        answers.add(list(9, true, entry("a", host.address(), DRAINED)));
+        answers.add(list(2, true, entry("a", host.address(), "ready").replace("\"started_ms\":0", "\"started_ms\":5")));
+        Node node = node(discovery, list(3, true));
+        for (int i = 0; i < 3; i++) {
+            asked(discovery);
+        }
+        node.loop.submit(() -> { }).sync();
+        assertEquals(200, status(node, "v"));
+    }
 }
