Read the configuration for one signal at a time

Node.reload runs on a thread for each SIGHUP, and on one of its own where discovery is lost. Of two at once the one that had read the older file could post its addresses last, and the gateway followed the old discovery. Serialised, whoever is last reads the file that is last. Found by reading; no order of two signal threads can be forced from outside, so it has no test of its own.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -134,7 +134,7 @@
     }
 
     /** Takes from a replaced configuration what may change while a node serves: where others are. */
-    private void reload() {
+    private synchronized void reload() { // two signals at once: the later one reads the later file
         try {
             NodeConfig changed = NodeConfig.read(configFile.toString());
             log("configuration read again: discovery at " + changed.discovery());
