Count a stranger's time from its connecting also inside a body, and no pipelined request as idle

Root cause: ClientServer.expelIfLate counted a body that stops from its head's end, so that a peer that sent its head 2 s after connecting got its 408 only 4.5 s after; 3 s is what it is owed. Of a client's first request the time from connecting counts now, while bytes that come at the slowest rate allowed still keep it open. And between an answer and the next request that had been read ahead, the connection stood among the idle ones, which a drain or a crowd may close (Connection.answered, channelReadComplete): a request that was read would have been lost. Found by reading. Without the mend the test's stranger hears nothing for as long as its clock stands at 2.6 s after connecting.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -234,7 +234,8 @@
                 }
             } else if (incoming != null) {
                 double ms = now - incoming.sinceMs;
-                if (ms > HEAD_MS && channel.config().isAutoRead()
+                double late = known ? ms : now - headSince; // a stranger's time counts from its connecting
+                if (late > HEAD_MS && channel.config().isAutoRead()
                         && incoming.receivedBytes() < ms * SLOWEST_BYTES_PER_MS) {
                     expel();
                 }
@@ -308,7 +309,7 @@
             }
             if (partial) {
                 idle.remove(this); // a close would lose a request of which a part has been read
-            } else if (!busy && !ended) {
+            } else if (!busy && !ended && waiting.isEmpty()) {
                 idle.add(this);
             }
         }
@@ -554,8 +555,9 @@
                 end(sent);
                 return;
             }
-            idle.add(this);
-            if (!waiting.isEmpty()) { // not at once: an answer may be given while the request is being taken
+            if (waiting.isEmpty()) {
+                idle.add(this);
+            } else { // not at once: an answer may be given while the request is being taken
                 node.loop.execute(this::next);
             }
         }
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -282,4 +282,20 @@
         assertEquals(408, c.receive().status());
         assertEquals("for three", other.send("\r\n" + order("three", "b")).receive().text());
     }
+
+    /** Who has not sent a whole request yet is owed a word 3 s after connecting, however late the head came. */
+    @Test
+    void aStrangersBodyThatStopsIsToldSoFromItsConnectingOn() throws Exception {
+        clock.stands = true;
+        Server host = kept(new Server(CrossingTest::echo));
+        Node node = node(this::noted, c -> c, entry("h0", host.address(), "ready"));
+        Client stranger = client(node);
+        Client other = client(node);
+        assertEquals("for one", other.send(order("one", "b")).receive().text()); // both have been accepted
+        clock.aheadMs = 2000;
+        stranger.send(order("o", "whole").replace("whole", "ha"));
+        assertEquals("for two", other.send(order("two", "b")).receive().text());
+        clock.aheadMs = 2600;
+        assertEquals(408, stranger.receive().status());
+    }
 }
