Leave a keyed repeat the time to connect within its window

Root cause: Brain.repeatable allowed a further attempt until 0.9 of the key's window, while such an attempt may wait as long as a connection may take to come up (limits.connect_timeout_ms): with a window of 1 s and 250 ms it could reach its host 150 ms after the window, where a repeat is no longer dropped. The last moment is now the window less that time, where that is sooner. Found by reading. The test's clock: 650 ms after the first attempt, a window of 1 s and 400 ms for a connection; without the mend a second attempt leaves. With 100 ms nothing changes.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1145,10 +1145,15 @@
                 || ask.cls.spec.scope().together(s.info, ran.server.info));
     }
 
-    private static boolean repeatable(double now, Ask ask, Attempt ran) {
+    private boolean repeatable(double now, Ask ask, Attempt ran) {
         RequestClass spec = ask.cls.spec;
         return ran == null || spec.effect() == Effect.REPEATABLE
-                || spec.effect() == Effect.KEYED && now < ran.sentAt + WINDOW_SHARE * spec.windowMs();
+                || spec.effect() == Effect.KEYED && now < ran.sentAt + windowMs(spec);
+    }
+
+    /** A further attempt may first wait for a connection as long as one may take to come up. */
+    private double windowMs(RequestClass spec) {
+        return Math.min(WINDOW_SHARE * spec.windowMs(), spec.windowMs() - set.limits().connectTimeoutMs());
     }
 
     private boolean mayTryAgain(double now, Ask ask) {
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -42,7 +42,7 @@
             double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
 
     public record Limits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean peers,
-            boolean retryAfter, double maxRetryAfterMs) { }
+            boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs) { }
 
     public record Rules(double answerSlackMs, double drainGraceMs, double fallMultiple, double fallMs,
             double coldFrom, double warmWithinMs, double askWithinMs) { }
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -29,7 +29,6 @@
     private static final int HEX = 16;
     private static final String OPERATOR = "operator";
     private static final int DEFAULT_SOCKETS = 1024;
-    private static final double DEFAULT_CONNECT_MS = 250;
     private static final double DEFAULT_IDLE_MS = 15_000;
     private static final double DEFAULT_COUNTER_MS = 80;
     private static final double DEFAULT_MAX_OPEN = 20_000;
@@ -81,7 +80,7 @@
                 mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
-                fields.number("limits.connect_timeout_ms", DEFAULT_CONNECT_MS),
+                settings.limits().connectTimeoutMs(),
                 fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
                 fields.number("specifics.counter_timeout_ms", DEFAULT_COUNTER_MS),
                 (int) fields.number("limits.max_open", DEFAULT_MAX_OPEN));
--- a/src/main/java/deckfall/wire/SettingsReader.java
+++ b/src/main/java/deckfall/wire/SettingsReader.java
@@ -13,13 +13,15 @@
 
 /** Translates the pairs of a start message; absent keys mean that the thing they speak of is not there. */
 public final class SettingsReader {
+    private static final double CONNECT_MS = 250;
+
     private SettingsReader() { }
 
     public static Settings read(Fields f) {
         Limits limits = new Limits(f.count("limits.max_attempts", 1), f.flag("limits.may_duplicate", false),
                 f.flag("limits.cancel", false), f.flag("limits.probes", false),
                 f.flag("limits.peer_messages", false), f.flag("limits.retry_after", false),
-                f.number("limits.max_retry_after_ms", 0));
+                f.number("limits.max_retry_after_ms", 0), f.number("limits.connect_timeout_ms", CONNECT_MS));
         Rules rules = new Rules(f.number("rules.answer_slack_ms", 0), f.number("rules.drain_grace_ms", 0),
                 f.number("rules.fall_multiple", 1), f.number("rules.fall_ms", 0),
                 f.number("rules.cold_from", 0), f.number("rules.warm_within_ms", 0),
--- a/src/test/java/deckfall/CounterTest.java
+++ b/src/test/java/deckfall/CounterTest.java
@@ -19,7 +19,7 @@
     private static FakeGateway gateway(boolean counter) {
         Settings s = FakeGateway.settings(0, GATEWAYS);
         return new FakeGateway(0, new Settings(s.seed(), 0, GATEWAYS, "a", false, s.classes(), List.of(SLOW),
-                List.of(), new Limits(3, false, true, false, false, true, 500), s.rules(),
+                List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
                 new Sharing(counter, 0, 1000, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4");
     }
 
--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -160,4 +160,19 @@
         g.end("r", 0, Outcome.OK, 1);
         assertTrue(g.failed.isEmpty() && g.refused.isEmpty() && g.sent.size() == 1);
     }
+
+    /** A further attempt may wait for its connection; it is to reach its host within the key's window all the same. */
+    @Test
+    void aKeysWindowLeavesTimeForAConnectionToComeUp() {
+        for (double at : new double[] {550, 650}) {
+            Settings s = FakeGateway.settings(0, 1);
+            Limits slow = new Limits(4, false, true, true, true, true, 500, 400);
+            FakeGateway g = new FakeGateway(1000, new Settings(s.seed(), 0, 1, s.zone(), false, s.classes(), s.plans(),
+                    s.reportNames(), slow, s.rules(), s.sharing())).withHosts("a1", "a2");
+            g.ask("o", "order");
+            g.pass(at);
+            g.end("o", 0, Outcome.RESET, at);
+            assertEquals(at < 1000 - 400 ? 2 : 1, g.sends("o"));
+        }
+    }
 }
--- a/src/test/java/deckfall/WideSetTest.java
+++ b/src/test/java/deckfall/WideSetTest.java
@@ -37,7 +37,7 @@
         for (int i = 0; i < GATEWAYS; i++) {
             Settings s = FakeGateway.settings(i, GATEWAYS, i);
             all.add(new FakeGateway(0, new Settings(s.seed(), i, GATEWAYS, "a", false, s.classes(), List.of(LARGE, SMALL),
-                    List.of(), new Limits(3, false, true, false, false, true, 500), s.rules(),
+                    List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
                     new Sharing(true, 0, PERIOD_MS, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4"));
         }
     }
