Start and serve with settings that name no plans

Root cause: Rehearsal.request took the plan of a request by the remainder of a division by the number of plans, so a start with none ended by an ArithmeticException, and ClientServer.read answered 400 to whatever named no known plan. Plans may be absent (SettingsReader reads none then); nobody is held to a quota there. The test starts, rehearses and serves such a node; without the mend its rehearsal throws. A plan that the settings do not name among others is still 400.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -632,9 +632,9 @@
         String customer = h.get(Names.CUSTOMER);
         String expires = h.get(Names.EXPIRES);
         String quota = h.get(Names.QUOTA);
-        if (cls == null || id == null || id.isEmpty() || id.length() > ID_MAX || plan == null
-                || !plans.containsKey(plan) || customer == null || customer.length() != CUSTOMER_DIGITS
-                || expires == null || quota == null) {
+        boolean planned = plans.isEmpty() || plan != null && plans.containsKey(plan);
+        if (cls == null || id == null || id.isEmpty() || id.length() > ID_MAX || !planned || customer == null
+                || customer.length() != CUSTOMER_DIGITS || expires == null || quota == null) {
             return null;
         }
         boolean safe = cls.effect() == Effect.REPEATABLE;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -446,7 +446,7 @@
         }
     }
 
-    /** Nobody waits for it any more: it must not leave when its connection comes up, whether cancelling is allowed or not. */
+    /** Nobody waits for it any more: it must not leave when its connection comes up, may it be cancelled or not. */
     private void withdrawUnsent(OpenRequest r) {
         for (Attempt a : List.copyOf(r.attempts)) {
             if (!a.ended && !a.begun()) {
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Effect;
+import deckfall.Gateway.Plan;
 import deckfall.Gateway.Remembered;
 import deckfall.Gateway.RequestClass;
 import deckfall.Gateway.Settings;
@@ -118,10 +119,15 @@
         boolean safe = c.effect() == Effect.REPEATABLE;
         String body = safe ? "" : BODY;
         return REQUEST.formatted(safe ? "GET" : "POST", c.name(), i, i,
-                settings.plans().get(i / 2 % settings.plans().size()).name(), i % 64, 1 + i % settings.gateways(),
+                planName(settings, i / 2), i % 64, 1 + i % settings.gateways(),
                 body.length(), body);
     }
 
+    private static String planName(Settings settings, int i) {
+        List<Plan> plans = settings.plans();
+        return plans.isEmpty() ? "none" : plans.get(i % plans.size()).name();
+    }
+
     /** Every answer to a rehearsal is a head alone: its host is the node itself, which refuses what it is sent. */
     private static void ask(Socket socket, String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
--- a/src/test/java/deckfall/net/RehearsalTest.java
+++ b/src/test/java/deckfall/net/RehearsalTest.java
@@ -34,6 +34,25 @@
         }
     }
 
+    /** Settings without plans hold nobody to a quota; the start once divided by their number. */
+    @Test
+    void withoutPlansItRehearsesAndServes() throws Exception {
+        try (Server host = new Server((m, s) -> s.getOutputStream().write(Sockets.ok("")));
+                Registry registry = new Registry(Sockets.list(1, true,
+                        Sockets.entry("h0", host.address(), "ready")))) {
+            String text = Sockets.config(registry.server.address(), "127.0.0.1:0")
+                    .replaceAll("(?s),\\s*\"plans\": \\[.*?\\]", "");
+            assertTrue(Rehearsal.warm(config(text), false) > 0);
+            Node node = Sockets.node(text);
+            try (Client c = new Client(node)) {
+                String bare = Sockets.view("v", Sockets.PATIENCE_MS).replace("X-Plan: free\r\n", "");
+                assertEquals(200, c.send(bare).receive().status());
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
     /** Its clients come to a closed port meanwhile, and many gateways may be away at once. */
     @Test
     void aGatewayThatIsMissedDoesNotRehearse() throws Exception {
