Without a meter, guess at what is free beside the own part only where excess costs little

Root cause: Brain.spares takes a share of what the others hold to be free beside what the meter shows of their use. Without a meter othersRate stays at its guess, half the rate, for good, and each gateway of a set lets in as much on the same guess.

With a meter nothing changes. Seen to fail without the mend: the test lets two in where one is expected.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -320,11 +320,13 @@
 
     /**
      * Whether the whole store has room beside what others may have used unseen: most customers use a part
-     * of their quota, and what one gateway's bucket lacks then lies in the others'.
+     * of their quota, and what one gateway's bucket lacks then lies in the others'. Without a meter that is a
+     * guess which all of a set make alike: it is left to the plans whose excess costs little.
      */
     private boolean spares(Customer c, double units) {
         double unseen = othersRate(c) * METER_LATE_MS / 1000;
-        return !set.limits().peers() && c.spread > 1 && c.spare - unseen >= units;
+        boolean guesses = set.sharing().meterPeriodMs() > 0 || !costly(c.plan);
+        return guesses && !set.limits().peers() && c.spread > 1 && c.spare - unseen >= units;
     }
 
     /** This gateway's part of a customer's demand: all parts of one keeper's word sum to one. */
--- a/src/test/java/deckfall/CounterTest.java
+++ b/src/test/java/deckfall/CounterTest.java
@@ -140,4 +140,21 @@
         }
         return g.sent.size() - first;
     }
+
+    /** Nothing tells there what the others of the set hold: all would take the same units to be free. */
+    @Test
+    void withoutAMeterAGuessIsLeftToThePlansWhoseExcessCostsLittle() {
+        Settings s = FakeGateway.settings(0, GATEWAYS);
+        Plan cheap = new Plan("cheap", SLOW.rate(), SLOW.burst(), 0, 1, 0, 0.1, 0, 0, 0);
+        g = new FakeGateway(0, new Settings(s.seed(), 0, GATEWAYS, "a", false, s.classes(), List.of(SLOW, cheap),
+                List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
+                new Sharing(true, 0, 0, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4");
+        askUntilCounted();
+        assertEquals(1, g.sent.size()); // its part of the burst, and no more unasked
+        g.counted.clear();
+        while (g.counted.isEmpty()) {
+            g.ask("c" + serial++, "read", "cheap", 43, 1, GATEWAYS);
+        }
+        assertTrue(g.sent.size() > 2, g.sent.size() + " let in, two of them by the even parts");
+    }
 }
