--- a/src/main/java/deckfall/net/Drain.java
+++ b/src/main/java/deckfall/net/Drain.java
@@ -35,12 +35,22 @@
     /** From any thread: from here on the gateway is no place for clients. */
     void begin() {
         on = true;
-        loop.execute(() -> {
-            if (on && !sweeping) {
-                sweeping = true;
-                loop.schedule(this::sweep, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
-            }
-        });
+        if (loop.inEventLoop()) {
+            start(); // at once: what the loop's caller times from now on is to come after the first sweep
+        } else {
+            loop.execute(this::start);
+        }
+    }
+
+    private void start() {
+        if (on && !sweeping) {
+            sweeping = true;
+            loop.schedule(this::sweep, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    boolean sweeping() {
+        return sweeping;
     }
 
     /**
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -15,6 +15,8 @@
 import deckfall.net.Sockets.Client;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -125,4 +127,18 @@
         node.loop.schedule(() -> { }, 150, TimeUnit.MILLISECONDS).sync();
         assertEquals(200, c.send(view("v", Sockets.PATIENCE_MS)).receive().status());
     }
+
+    /** The listener's end is timed next: were the sweep timed in a later turn, a slow loop would close that first. */
+    @Test
+    void theFirstSweepIsTimedInTheTurnThatBegins() throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        ends.push(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS));
+        EventLoop loop = group.next();
+        Drain drain = new Drain(loop, new Hand(), null);
+        assertTrue(loop.submit(() -> {
+            drain.begin();
+            return drain.sweeping();
+        }).get());
+        drain.resume();
+    }
 }
