Hear of a change in 5 s whatever call to discovery failed before

Cause: a change counts as told 6 s after discovery had it and could be reached. A watch held 5 s and was given up 1 s later, so the next call began 6.04 to 6.08 s after a watch had fallen silent; a further call held 5 s again, and after some failures up to 1.5 s passed between two calls. By the test's sum, with 0.4 s for the call that tells: up to 13 s behind two silent calls.

Change: CallTiming holds the constants and the sum from which they are chosen: hold 2 s, patience 1 s, at most 0.8 s between calls, and no call waits for news until one is answered again. Every third failing call has 2 s, since a discovery that is slow would otherwise never be heard. An answer that ends its connection is no failure any more.

Result: on the test's clock a change is heard of in at most 5 s over all spells up to 12 s of silence, hanging connects, refusals, resets and 503, each with one more failed call of any kind after its end. Without the mend: "12670 ms after 1 ms of SILENT and SILENT"; on real connections the call after a reset asked hold_ms=5000 instead of 0.

Cost: an idle watch is one empty answer in 2 s instead of 5, and a broken watch two calls instead of one.

Ruled out: lists that are indented or come byte by byte are read whole (new test; it fails with a bound of 64 bytes on a list, there was no fault). A patience of 2 s twice running goes over the 5 s (5277 ms).

At fault: Discovery HOLD_MS, AGAIN_MOST_MS and call().

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -45,12 +45,7 @@
 final class Discovery {
     static final String LIST = "servers";
     private static final String PATH = "/v1/servers";
-    private static final long HOLD_MS = 5000; // short: what a call that went astray would have told comes soon
-    private static final long PATIENCE_MS = 1000; // beyond what a call may wait
     private static final long FIRST_LIST_MS = 1000; // a gateway starts without discovery, but not beside it
-    private static final int LOST_AFTER = 3; // calls in a row that failed: the address may be one of before a move
-    private static final long AGAIN_MS = 80; // at most after a first failure: a watch is broken only after 200
-    private static final long AGAIN_MOST_MS = 1500; // a fleet that is turned away comes back by and by
     private static final int MAX_LIST = 4 << 20;
 
     /** A host with the address at which this api gateway reaches it. */
@@ -63,12 +58,11 @@
 
     private final Node node;
     private final ObjectMapper json = new ObjectMapper();
-    private final Backoff backoff;
+    private final CallTiming timing;
     private InetSocketAddress address;
     private Channel channel;
     private Future<?> timeout;
     private boolean failing;
-    private int failures; // in a row
     private long version; // -1: the whole list is still to come
     private boolean behind = true; // what has changed since that version is still to come
     private final Leaving leaving = new Leaving();
@@ -78,7 +72,7 @@
         this.node = node;
         this.address = node.config.discovery();
         this.version = node.config.knownVersion();
-        this.backoff = new Backoff(AGAIN_MS, AGAIN_MOST_MS, new Random(node.config.settings().seed()));
+        this.timing = new CallTiming(new Random(node.config.settings().seed()));
     }
 
     void start() {
@@ -98,7 +92,7 @@
     private void connect() {
         Bootstrap b = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) PATIENCE_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timing.patienceMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -121,21 +115,26 @@
         address = to;
         version = -1;
         behind = true;
-        backoff.reset();
+        timing.moved();
         if (channel != null) {
             channel.close(); // its end leads to the new address
         }
     }
 
     private void again() {
-        failures++;
-        if (failures % LOST_AFTER == 0) {
+        connectIn(timing.failedMs());
+        if (timing.lost()) {
             node.discoveryLost();
         }
-        node.loop.schedule(this::connect, backoff.nextMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private void connectIn(long ms) {
+        node.loop.schedule(this::connect, ms, TimeUnit.MILLISECONDS);
     }
 
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private boolean last; // an answer has come with which discovery ends the connection
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
@@ -147,13 +146,14 @@
 
         private void call() {
             Channel on = channel;
-            long holdMs = behind ? 0 : HOLD_MS;
+            long holdMs = behind ? 0 : timing.holdMs();
             String uri = version < 0 ? PATH : PATH + "?from=" + version + "&hold_ms=" + holdMs;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             on.writeAndFlush(request, on.voidPromise());
-            timeout = node.loop.schedule(() -> on.close(), holdMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            timeout = node.loop.schedule(() -> on.close(), holdMs + timing.patienceMs(),
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -170,8 +170,7 @@
             long told = version(list);
             List<Entry> entries = leaving.heard(told, whole, entries(list));
             failing = false;
-            failures = 0;
-            backoff.reset();
+            timing.answered();
             behind = !whole && told < version; // versions are counted anew: changes since say nothing
             version = behind ? -1 : told;
             if (whole && !node.rehearsing()) { // once a start or a move: without this line the old list is still in use
@@ -183,6 +182,7 @@
             if (HttpUtil.isKeepAlive(response)) {
                 call(); // the next call first, so that no change falls between
             } else {
+                last = true;
                 ctx.close();
             }
             if (!behind && (whole || !entries.isEmpty())) {
@@ -196,7 +196,11 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             timeout.cancel(false);
-            again();
+            if (last) {
+                connectIn(timing.endedMs());
+            } else {
+                again();
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/deckfall/net/CallTimingTest.java
@@ -0,0 +1,79 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** When a change is heard of behind calls that failed, on a clock of the test's own. */
+class CallTimingTest {
+    private static final long TOLD_MS = 6000; // from when discovery had it and could be reached
+    private static final long MARGIN_MS = 1000;
+    private static final long GOOD_MS = 400; // what the connect and the call that tell may take on a busy core
+    private static final long BROKEN_MS = 50; // a call's end that is no silence
+    private static final long LONGEST_SPELL_MS = 12_000;
+    private static final long STEP_MS = 10;
+    private static final int SEEDS = 5;
+
+    private enum Failure { SILENT, HANGING_CONNECT, REFUSED, RESET, UNAVAILABLE }
+
+    private static long failsAfterMs(Failure how, CallTiming timing) {
+        return switch (how) {
+            case SILENT -> timing.holdMs() + timing.patienceMs();
+            case HANGING_CONNECT -> timing.patienceMs();
+            case REFUSED, RESET, UNAVAILABLE -> BROKEN_MS;
+        };
+    }
+
+    /** From the end of a spell in which each call that begins fails, and one further call that fails, to the news. */
+    private static long heardAfterMs(long spellMs, Failure spell, Failure further, long seed) {
+        CallTiming timing = new CallTiming(new Random(seed));
+        timing.answered(); // the watch has been opened as the spell begins
+        long now = 0;
+        for (boolean over = false; !over;) {
+            over = now >= spellMs;
+            now += failsAfterMs(over ? further : spell, timing);
+            now += timing.failedMs();
+        }
+        return now + GOOD_MS - spellMs;
+    }
+
+    @Test
+    void aChangeIsHeardOfInTimeWhateverCallsWentBefore() {
+        for (Failure spell : Failure.values()) {
+            for (Failure further : Failure.values()) {
+                for (long spellMs = 1; spellMs < LONGEST_SPELL_MS; spellMs += STEP_MS) {
+                    for (int seed = 0; seed < SEEDS; seed++) {
+                        long ms = heardAfterMs(spellMs, spell, further, seed);
+                        assertTrue(ms <= TOLD_MS - MARGIN_MS, ms + " ms after " + spellMs + " ms of " + spell
+                                + " and " + further);
+                    }
+                }
+            }
+        }
+    }
+
+    /** A slow discovery is given more time in a while than one that was silent once, or it would never be heard. */
+    @Test
+    void aSpellOfFailuresHasCallsOfMorePatience() {
+        CallTiming timing = new CallTiming(new Random(1));
+        long first = timing.patienceMs();
+        timing.failedMs();
+        assertEquals(first, timing.patienceMs());
+        timing.failedMs();
+        assertTrue(timing.patienceMs() > first);
+        timing.answered();
+        assertEquals(first, timing.patienceMs());
+    }
+
+    @Test
+    void aWatchGoesOnInTimeWhereEachAnswerEndsItsConnection() {
+        CallTiming timing = new CallTiming(new Random(1));
+        for (int i = 0; i < 10; i++) {
+            timing.answered();
+            assertTrue(timing.endedMs() <= 100);
+            assertEquals(CallTiming.HOLD_MS, timing.holdMs());
+        }
+    }
+}
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -5,6 +5,7 @@
 import static deckfall.net.Sockets.ok;
 import static deckfall.net.Sockets.view;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.net.Sockets.Client;
@@ -13,6 +14,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.BlockingQueue;
@@ -82,7 +84,7 @@
         answers.add(list(9, false, entry("a", old.address(), DRAINED), entry("b", fresh.address(), "ready")));
         Node node = node(discovery, list(7, true, entry("a", old.address(), "ready")));
         assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
-        assertEquals("GET /v1/servers?from=9&hold_ms=5000 HTTP/1.1", asked(discovery));
+        assertEquals("GET /v1/servers?from=9&hold_ms=" + CallTiming.HOLD_MS + " HTTP/1.1", asked(discovery));
         assertEquals(200, status(node, "one"));
         assertEquals(1, fresh.asked.size());
         assertEquals(0, old.asked.size());
@@ -106,7 +108,7 @@
         Node node = node(discovery, list(7, true, entry("a", host.address(), "ready")));
         assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
         assertEquals("GET /v1/servers HTTP/1.1", asked(discovery));
-        assertEquals("GET /v1/servers?from=2&hold_ms=5000 HTTP/1.1", asked(discovery));
+        assertEquals("GET /v1/servers?from=2&hold_ms=" + CallTiming.HOLD_MS + " HTTP/1.1", asked(discovery));
         assertEquals(200, status(node, "one"));
     }
 
@@ -169,4 +171,54 @@
         node.loop.submit(() -> { }).sync();
         assertEquals(200, status(node, "v"));
     }
+
+    /** A call that waits would be as long silent as the one before: what was missed is asked for first. */
+    @Test
+    void afterACallThatFailedNoneWaitsBeforeOneIsAnswered() throws Exception {
+        String unavailable = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        String brokenOff = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\":8,";
+        BlockingQueue<String> raw = new LinkedBlockingQueue<>();
+        Server discovery = kept(new Server((m, s) -> {
+            String text = raw.take();
+            s.getOutputStream().write(Sockets.bytes(text));
+            if (!text.endsWith("}")) {
+                s.close();
+            }
+        }));
+        String none = new String(ok(list(7, false)), StandardCharsets.ISO_8859_1);
+        String caughtUp = "GET /v1/servers?from=7&hold_ms=" + CallTiming.HOLD_MS + " HTTP/1.1";
+        raw.add(none);
+        node(discovery, list(7, true, entry("a", "127.0.0.1:1", "ready")));
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
+        for (String failed : new String[] {"", unavailable, brokenOff}) {
+            assertEquals(caughtUp, asked(discovery));
+            raw.add(failed);
+            assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery), failed);
+            raw.add(none);
+        }
+        assertEquals(caughtUp, asked(discovery));
+        raw.add(none.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        assertEquals(caughtUp, asked(discovery)); // the watch goes on
+    }
+
+    @Test
+    void aListMayComeIndentedAndByteByByte() throws Exception {
+        Server host = kept(new Server(DiscoveryTest::echo));
+        ObjectMapper json = new ObjectMapper();
+        String list = json.readTree(list(9, false, entry("a", host.address(), "ready"))).toPrettyString();
+        Server discovery = kept(new Server((m, s) -> {
+            if (m.start().contains("hold_ms=0")) {
+                s.setTcpNoDelay(true);
+                for (byte b : ok(list)) {
+                    s.getOutputStream().write(b);
+                }
+            }
+        }));
+        Node node = node(discovery, list(7, true, entry("a", "127.0.0.1:1", "ready")));
+        assertTrue(list.contains("\n  \"version\" : 9"), list);
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
+        assertTrue(asked(discovery).contains("from=9&"));
+        node.loop.submit(() -> { }).sync();
+        assertEquals(200, status(node, "v"));
+    }
 }
