Send nothing on for a client that has closed behind unread bytes or a busy loop

Cause: a channel that is not read shows no close. A body over 256 KiB was not read on while its request waited, and neither was a connection with more than 16 messages (8 requests) read ahead, so the close behind them was found only after the request had been sent on. And a loop that has been busy acts on what it has before it reads that a client has closed: a request and the close behind it, which had both come, still made an attempt, and so did a retry.

Change: what waits is read on within the memory budget: 1 MiB of a body that is not being passed on, 512 KiB of requests ahead (heads counted as 2 KiB each; 64 KiB where memory is tight). Who sends more than that is told 503 after 80 ms in which its leaving could not have been seen, so that memory stays bounded and no attempt begins later than 100 ms unseen. Before each attempt the client's connection is read once more; so that this is never inside a read, what has come is looked at in a turn of its own.

Result: three tests, each failing without the mend ("nothing came": the module never hears that the client has left, behind 320 KiB and behind 64 further requests, and of floods; "expected: <MOOT> but was: <RESET>": the attempt began). Each attempt costs one more read call; the cost was not measured.

Ruled out: a client that leaves while a connection comes up, a place at a host is awaited, a retry or a counter call is pending (its entry is closed, and Node.send() is void for it; tests exist for the first two). Half-closes: the end of a client's sending can't be told from its close, and counts as that. Asking the system for a close without reading: NIO takes a channel without interest out of the poll, and has no event for a hang-up.

At fault: ClientServer.readOn() and PIPELINED, Incoming.wanted(), Node.send().

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -37,6 +38,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
@@ -54,7 +56,9 @@
     private static final int FIRST_READ = 2048;
     private static final int MOST_READ = 16 * 1024; // many are under way at once
     private static final int BACKLOG = 512;
-    private static final int PIPELINED = 16; // requests read ahead on one connection; then reading stops
+    private static final int MOST_AHEAD = 512 * 1024; // what is read ahead on one connection; then reading stops
+    private static final int HEAD_BYTES = 2048; // what a head that is read ahead takes, about
+    private static final long UNSEEN_MS = 80; // an attempt may begin until 100 ms after its client has gone
     private static final int SOCKET_SHARE = 3; // clients may hold one descriptor in so many
     private static final long HEAD_MS = 2500; // a peer that has sent no whole head by then is told so
     private static final double SLOWEST_BYTES_PER_MS = 32; // a body that comes more slowly is given up
@@ -186,6 +190,8 @@
         private final StrictRequestDecoder decoder;
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
         private int waitingBytes;
+        private Future<?> unseen; // ends the time for which its client's leaving may not be seen
+        private boolean lastAnswer; // the connection ends with the answer that is being passed on
         private Incoming incoming; // until its last byte has come
         private OpenRequest current;
         private Transfer transfer;
@@ -237,14 +243,15 @@
                 double late = known ? ms : now - headSince; // a stranger's time counts from its connecting
                 if (late > HEAD_MS && channel.config().isAutoRead()
                         && incoming.receivedBytes() < ms * SLOWEST_BYTES_PER_MS) {
-                    expel();
+                    expel(HttpResponseStatus.REQUEST_TIMEOUT);
                 }
-            } else if (!busy && !ended && headSince > 0 && now - headSince > HEAD_MS) {
-                expel();
+            } else if (!busy && !ended && waiting.isEmpty() && headSince > 0 && now - headSince > HEAD_MS) {
+                expel(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         }
 
         private void closeUnanswered() {
+            next(); // what has been read is a request
             if (incoming != null && !ended) {
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             } else if (!busy && !ended) {
@@ -252,15 +259,15 @@
             }
         }
 
-        private void expel() {
+        private void expel(HttpResponseStatus status) {
             keepAlive = false;
             busy = true;
             idle.remove(this);
             OpenRequest left = current;
             if (left != null) {
-                node.clientLeft(left); // its body was being passed on and will not become whole
+                node.clientLeft(left); // its body will not become whole, or nothing shows whether its client waits
             }
-            answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
+            answer(status, 0);
         }
 
         @Override
@@ -268,9 +275,11 @@
             connections.remove(this);
             open.set(connections.size());
             idle.remove(this);
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
+            dropWaiting();
             ended = true;
+            if (unseen != null) {
+                unseen.cancel(false);
+            }
             OpenRequest left = current;
             current = null;
             if (left != null) {
@@ -295,12 +304,24 @@
                 return;
             }
             waiting.add((HttpObject) message);
-            waitingBytes += bytes(message);
-            next();
+            account(bytes(message));
         }
 
+        /**
+         * What has been read is looked at in a turn of its own: the first attempt reads the connection once more, and
+         * inside a read that can't be done.
+         */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            idle.remove(this); // a close would lose what has been read
+            node.loop.execute(this::look);
+        }
+
+        private void look() {
+            if (!channel.isActive()) {
+                return;
+            }
+            next();
             boolean partial = !busy && decoder.holdsBytes();
             if (!partial && known) {
                 headSince = 0;
@@ -315,13 +336,25 @@
         }
 
         private int bytes(Object message) {
-            return message instanceof HttpContent c ? c.content().readableBytes() : 0;
+            return (message instanceof HttpContent c ? c.content().readableBytes() : 0)
+                    + (message instanceof HttpRequest ? HEAD_BYTES : 0);
+        }
+
+        private void account(int bytes) {
+            waitingBytes += bytes;
+            node.room.take(bytes);
+        }
+
+        private void dropWaiting() {
+            waiting.forEach(ReferenceCountUtil::release);
+            waiting.clear();
+            account(-waitingBytes);
         }
 
         private void next() {
             while (!ended && !waiting.isEmpty() && (incoming != null || !busy)) {
                 HttpObject message = waiting.poll();
-                waitingBytes -= bytes(message);
+                account(-bytes(message));
                 try {
                     if (message instanceof HttpRequest head) {
                         begin(head);
@@ -339,10 +372,39 @@
         /** Reads on while there is room for what comes; a request read ahead waits as it came. */
         private void readOn() {
             boolean wanted = incoming != null && !ended ? incoming.wanted()
-                    : waiting.size() < PIPELINED && waitingBytes < Incoming.SMALL;
+                    : waitingBytes < (node.room.tight() ? Incoming.SMALL : MOST_AHEAD);
             if (channel.config().isAutoRead() != wanted) {
                 channel.config().setAutoRead(wanted);
             }
+            boolean matters = !wanted && !ended && !(incoming != null && incoming.spent());
+            if (!matters && unseen != null) {
+                unseen.cancel(false);
+                unseen = null;
+            } else if (matters && unseen == null) {
+                unseen = node.loop.schedule(this::refuseUnseen, UNSEEN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** No close is seen behind what is not read, and nothing may be sent on for a client that has gone. */
+        private void refuseUnseen() {
+            unseen = null;
+            readOn(); // memory may have become free
+            if (unseen == null) {
+                return;
+            }
+            if (transfer != null) {
+                lastAnswer = true;
+            } else {
+                expel(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }
+
+        /** Whether the client has closed its connection, also where the loop has been too busy to hear of it. */
+        boolean gone() {
+            if (channel.isActive() && channel.config().isAutoRead()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            return !channel.isActive();
         }
 
         private void begin(HttpRequest head) {
@@ -551,6 +613,7 @@
             current = null;
             busy = false;
             usedAt = node.clock.now();
+            ended |= lastAnswer;
             if (ended) {
                 end(sent);
                 return;
@@ -564,8 +627,7 @@
 
         /** A client that is still sending would lose its answer to a close, so the rest is read for a while. */
         private void end(ChannelFuture sent) {
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
+            dropWaiting();
             dropping = incoming != null;
             if (dropping) {
                 incoming.release();
--- a/src/main/java/deckfall/net/Incoming.java
+++ b/src/main/java/deckfall/net/Incoming.java
@@ -14,6 +14,7 @@
     static final int MOST_BODY = 32 << 20;
     static final int SMALL = 64 * 1024; // kept whole even where room is short
     static final int KEPT = 256 * 1024; // kept whole where there is room
+    private static final int MOST_HELD = 1 << 20; // read on until it is passed on, as behind it a close may come
     private static final int NO_LENGTH = -1;
 
     /** Where the body goes while it comes. */
@@ -106,7 +107,8 @@
 
     /** Whether more of it can be taken from the client now. */
     boolean wanted() {
-        return receiver != null ? receiver.writable() : spent || released || !outgrown();
+        return receiver != null ? receiver.writable()
+                : spent || released || !outgrown() || held.readableBytes() < MOST_HELD && !room.tight();
     }
 
     /** Calls back when more can be taken after it could not. */
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -579,6 +579,10 @@
             attemptEnded(a, Outcome.MOOT, null);
             return;
         }
+        if (r.clientGone()) {
+            clientLeft(r); // ends this attempt too, as it has not begun
+            return;
+        }
         if (timeoutMs > 0) {
             loop.schedule(() -> giveUp(a, Outcome.TIMEOUT), micros(timeoutMs), TimeUnit.MICROSECONDS);
         }
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -29,6 +29,11 @@
         return closed;
     }
 
+    /** Whether the client that is still owed an answer has closed its connection by now. */
+    boolean clientGone() {
+        return client != null && client.gone();
+    }
+
     /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
     ClientServer.Connection close() {
         ClientServer.Connection owed = client;
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -305,4 +305,98 @@
         clock.aheadMs = 2600;
         assertEquals(408, stranger.receive().status());
     }
+
+    /** A module that sends nothing on, and notes whose client has left. */
+    private Function<Actions, Events> holding() {
+        return act -> new Scripted((now, r) -> asked.add(r)) {
+            @Override
+            public void clientLeft(double now, String id) {
+                left.add(id);
+            }
+        };
+    }
+
+    private static long held(Node node) throws Exception {
+        return node.loop.submit(node.room::heldBytes).get();
+    }
+
+    /** A connection that is not read on shows no close, and what waits would be sent on for nobody. */
+    @Test
+    void aClientThatLeavesIsSeenBehindAllThatItHasSent() throws Exception {
+        String large = order("long", "b".repeat(Incoming.KEPT + Incoming.SMALL));
+        String many = order("many", "b") + order("behind", "b").repeat(64);
+        Node node = node(holding(), c -> c);
+        for (String sent : List.of(large, many)) {
+            Client c = client(node).send(sent);
+            String id = next(asked).id();
+            c.close();
+            assertEquals(id, next(left));
+            assertEquals(0, held(node));
+        }
+        assertTrue(asked.isEmpty());
+    }
+
+    /** Memory is bounded, so that whoever sends too much to be read on while its request waits is told no. */
+    @Test
+    void whoSendsTooMuchToBeSeenLeavingIsToldNo() throws Exception {
+        Node node = node(holding(), c -> c);
+        Client large = client(node).send(order("long", "b".repeat(8 << 20)));
+        assertEquals("long", next(asked).id());
+        assertEquals("long", next(left));
+        assertEquals(503, large.receive().status());
+        Client flood = client(node);
+        Thread sending = new Thread(() -> {
+            try {
+                flood.send(order("flood", "b").repeat(50_000));
+            } catch (IOException e) {
+                // ended by the other side, as it should
+            }
+        });
+        sending.start();
+        assertEquals("flood", next(asked).id());
+        assertEquals("flood", next(left));
+        sending.join();
+        assertTrue(asked.isEmpty());
+        assertEquals(0, held(node));
+    }
+
+    /** What has come is heard of only after the turn in which the module acts; so late it is a break. */
+    @Test
+    void noAttemptBeginsForAClientThatLeftWhileTheLoopWasBusy() throws Exception {
+        CountDownLatch[] gone = {new CountDownLatch(1), new CountDownLatch(1)};
+        Server host = kept(new Server((m, s) -> s.close()));
+        Node node = node(act -> new Scripted((now, r) -> {
+            asked.add(r);
+            if (r.id().equals("first")) {
+                await(gone[0]);
+            }
+            act.send(r.id(), "h0", 0);
+        }, r -> {
+            results.add(r);
+            if (r.id().equals("second") && r.outcome() == Outcome.RESET) {
+                await(gone[1]);
+                act.send(r.id(), "h0", 0);
+            }
+        }), c -> c, entry("h0", host.address(), "ready"));
+        Client first = client(node).send(order("first", "b"));
+        next(asked);
+        first.close();
+        gone[0].countDown();
+        assertEquals(Outcome.MOOT, next(results).outcome());
+        Client second = client(node).send(order("second", "b"));
+        next(asked);
+        assertEquals(Outcome.RESET, next(results).outcome());
+        second.close();
+        gone[1].countDown();
+        assertEquals(Outcome.MOOT, next(results).outcome());
+        assertEquals(1, host.asked.size());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
