--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -227,6 +227,15 @@
         });
     }
 
+    /** Netty tells elsewhere of a connect for which no descriptor was left; nothing here may run there. */
+    void onLoop(Runnable action) {
+        if (loop.inEventLoop()) {
+            action.run();
+        } else {
+            loop.execute(action);
+        }
+    }
+
     static void log(String line) {
         System.err.println(line);
     }
@@ -245,6 +254,7 @@
      * until it has returned.
      */
     private void tell(Event event) {
+        assert loop.inEventLoop() : "told beside the loop";
         events.add(event);
         if (telling) {
             return;
@@ -579,6 +589,10 @@
             attemptEnded(a, Outcome.MOOT, null);
             return;
         }
+        if (r.clientGone()) {
+            clientLeft(r); // ends this attempt too, as it has not begun
+            return;
+        }
         if (timeoutMs > 0) {
             loop.schedule(() -> giveUp(a, Outcome.TIMEOUT), micros(timeoutMs), TimeUnit.MICROSECONDS);
         }
