Close a client's connection where the turn that looks at its request breaks off

Cause: since what has come is looked at in a turn of its own, an error there was no longer told to the channel, which used to close on it: netty only warned, and the client waited for the end of its time. What follows an answer on the same connection had always been begun in such a turn.

Change: the turn hands what it throws to where the channel's errors go, also behind an answer.

Result: a module that throws an error ends the connection at once; without the mend the client got 504 at its time's end ("expected: <null> but was: <Message[start=HTTP/1.1 504 Gateway Timeout").

Seen when the classes of a process could not be loaded for want of descriptors (NoClassDefFoundError), which a jar rules out.

At fault: ClientServer.Connection.look(), answered().

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -321,7 +321,12 @@
             if (!channel.isActive()) {
                 return;
             }
-            next();
+            try {
+                next();
+            } catch (RuntimeException | Error e) { // no handler of the channel's hears of it in this turn
+                broken(e);
+                return;
+            }
             boolean partial = !busy && decoder.holdsBytes();
             if (!partial && known) {
                 headSince = 0;
@@ -621,7 +626,7 @@
             if (waiting.isEmpty()) {
                 idle.add(this);
             } else { // not at once: an answer may be given while the request is being taken
-                node.loop.execute(this::next);
+                node.loop.execute(this::look);
             }
         }
 
@@ -648,6 +653,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            broken(cause);
+        }
+
+        private void broken(Throwable cause) {
             if (!(cause instanceof IOException)) {
                 Node.log("defect: a client's connection ended by " + cause);
             }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -890,6 +890,14 @@
         }
     }
 
+    @Test
+    void aConnectionWhoseRequestBreaksTheLoopsTurnEnds() throws Exception {
+        Node node = scripted(act -> new Scripted((now, r) -> {
+            throw new AssertionError("made up by the test");
+        }));
+        assertNull(client(node).send(view("v", Sockets.PATIENCE_MS / 2)).receive());
+    }
+
     @Test
     void aModuleThatThrowsStillCostsNoAnswer() throws Exception {
         Node node = scripted(act -> new Scripted((now, r) -> {
