Keep 64 descriptors for discovery, the counter, the operator and the process itself

Cause: clients may hold a third and hosts 0.45 of the descriptors, by shares alone. Of 256 that left 56 for the 22 of a process that has just started, 16 callers at the operator's address, discovery, the counter, files that are read anew and the up to 16 that one turn accepts and gives back at the next.

Change: connections to hosts are bounded by what clients and a reserve of 64 leave (a quarter where there are fewer than 256 descriptors). From 300 descriptors on little or nothing changes.

Result: a test over 256 to 1024 descriptors; without the mend "56 of 256".

At fault: HostClient SOCKET_SHARE.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -88,7 +88,12 @@
         this.node = node;
         node.config.settings().classes().forEach(c -> classes.put(c.name(), c));
         node.config.settings().plans().forEach(p -> plans.put(p.name(), p));
-        maxConnections = node.config.sockets() / SOCKET_SHARE;
+        maxConnections = most(node.config.sockets());
+    }
+
+    /** The most connections from clients, where there are so many descriptors. */
+    static int most(int sockets) {
+        return sockets / SOCKET_SHARE;
     }
 
     /** Buffers that grow with what comes, from little. */
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -65,7 +65,14 @@
     private static final double REST_MS = 30; // a second copy of an answer may come some milliseconds after the first
     private static final long SWEEP_MS = 500;
     private static final int MOST_KEPT = 64 * 1024; // of an answer: beyond this it is passed on as it comes
-    private static final double SOCKET_SHARE = 0.45; // of all descriptors; clients may have as many
+    private static final double SOCKET_SHARE = 0.45; // of all descriptors
+    /**
+     * Descriptors for all else: 22 of a process that has just started, discovery and the counter, 16 callers at the
+     * operator's address, files that are read anew, and those that are closed only at the loop's next turn, of which
+     * a turn that accepts leaves up to 16.
+     */
+    static final int RESERVE = 64;
+    private static final int MOST_RESERVED = 4; // one in so many, where there are few
     private static final double PROBE_TIMEOUT_MS = 250;
 
     private final Node node;
@@ -76,7 +83,7 @@
 
     HostClient(Node node) {
         this.node = node;
-        this.maxConnections = (int) (node.config.sockets() * SOCKET_SHARE);
+        this.maxConnections = most(node.config.sockets());
         this.bootstrap = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
@@ -85,6 +92,12 @@
         node.loop.schedule(this::closeIdle, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** The most connections to hosts, where there are so many descriptors and clients hold all that they may. */
+    static int most(int sockets) {
+        int left = sockets - ClientServer.most(sockets) - Math.min(RESERVE, sockets / MOST_RESERVED);
+        return (int) Math.min(sockets * SOCKET_SHARE, left);
+    }
+
     /** Something asked of a host that ends exactly once; its owner ignores what comes after. */
     abstract static class Exchange {
         private Connection connection;
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -898,6 +898,16 @@
         assertNull(client(node).send(view("v", Sockets.PATIENCE_MS / 2)).receive());
     }
 
+    /** Clients and hosts together leave what discovery, the counter, the operator and the process itself need. */
+    @Test
+    void descriptorsAreLeftForAllElse() {
+        for (int sockets = 256; sockets <= 1024; sockets++) {
+            int left = sockets - ClientServer.most(sockets) - HostClient.most(sockets);
+            assertTrue(left >= HostClient.RESERVE, left + " of " + sockets);
+        }
+        assertTrue(HostClient.most(20) > 1);
+    }
+
     @Test
     void aModuleThatThrowsStillCostsNoAnswer() throws Exception {
         Node node = scripted(act -> new Scripted((now, r) -> {
