Log in one line how long each part of a start took

Cause: how soon a restarted process is ready counts, and its log told neither what it spent on its configuration, its warm-up and the wait for discovery, nor the sum.

Change: "ready in N ms: configuration, operator and siblings, warm-up, module and known list, discovery, listener", from main on. The counter is called and not waited for.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -109,8 +109,10 @@
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
         plainLogs();
+        StartTimes times = new StartTimes(new Clock());
         try {
             NodeConfig config = NodeConfig.read(configFile);
+            times.ended("configuration");
             ServerSocketChannel inherited = Inherited.listener();
             Node node = new Node(config);
             node.configuredBy(Path.of(configFile));
@@ -120,11 +122,14 @@
             if (inherited != null && System.getenv("TMPDIR") != null) {
                 node.beside(new Beside(Path.of(System.getenv("TMPDIR")), ProcessHandle.current().pid()));
             }
+            times.ended("operator and siblings");
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
+            times.ended("warm-up");
             node.recall();
-            node.start(inherited);
+            node.start(inherited, times);
             Hangup.onSignal(node::reload);
             log("serving on " + config.listen() + " after " + rehearsed + " rehearsed requests");
+            log(times.line());
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
             node.serving = true;
         } catch (NodeConfig.BadConfig | IOException e) {
@@ -172,12 +177,12 @@
 
     /** Returns once clients are served at the configured address. */
     void start() throws IOException {
-        start(null);
+        start(null, new StartTimes(clock));
         serving = true;
     }
 
     /** Returns once clients are let in, at the inherited listener if there is one. */
-    private void start(ServerSocketChannel inherited) throws IOException {
+    private void start(ServerSocketChannel inherited, StartTimes times) throws IOException {
         try {
             loop.submit(() -> {
                 tell((now, m) -> m.start(now, config.settings()));
@@ -191,10 +196,13 @@
                 loop.scheduleAtFixedRate(this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
                 loop.scheduleAtFixedRate(this::countHosts, SURVEY_MS, SURVEY_MS, TimeUnit.MILLISECONDS);
             }).sync();
+            times.ended("module and known list"); // the counter is called, and not waited for
             if (!rehearsing) { // a rehearsal's discovery is the node itself
                 discovery.awaitList();
             }
+            times.ended("discovery");
             loop.submit(() -> clients.start(inherited)).sync().getNow().sync();
+            times.ended("listener");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -138,6 +138,16 @@
         assertTrue(log.matches("(?s).*after [1-9]\\d* rehearsed requests.*"), log);
     }
 
+    @Test
+    void oneLineTellsHowLongEachPartOfAStartTook() throws Exception {
+        startServing();
+        awaitLog("listener ");
+        String line = Files.readAllLines(dir.resolve("log")).stream().filter(l -> l.contains("ready in")).findFirst()
+                .orElseThrow();
+        assertTrue(line.matches("ready in \\d+ ms: configuration \\d+, operator and siblings \\d+, warm-up \\d+, "
+                + "module and known list \\d+, discovery \\d+, listener \\d+"), line);
+    }
+
     private void hangup() throws Exception {
         signal("HUP", process.pid());
     }
