Let the turn of an answer end before the drain test moves its clock

Cause: the client has its answer before the loop has read the clock for the time at which its connection was last used (ClientServer, usedAt). Where the test's hand had moved by then, the connection looked fresh for 10 s more and was not closed. A pause of 30 ms between the two lines fails the test at the same place each time.

Change: one turn of the loop is waited for before the hand moves. What is asserted stays as it was.

--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -121,6 +121,7 @@
         Client idle = client(node);
         assertEquals(200, idle.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
         node.operations().quiesce();
+        node.loop.submit(() -> { }).sync(); // the answer's turn has read the clock before its hand moves
         clock.aheadMs = 10_000;
         assertNull(idle.receive()); // from here on there is a sweep every 50 ms
         Client c = client(node);
