--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -88,7 +88,12 @@
         this.node = node;
         node.config.settings().classes().forEach(c -> classes.put(c.name(), c));
         node.config.settings().plans().forEach(p -> plans.put(p.name(), p));
-        maxConnections = node.config.sockets() / SOCKET_SHARE;
+        maxConnections = most(node.config.sockets());
+    }
+
+    /** The most connections from clients, where there are so many descriptors. */
+    static int most(int sockets) {
+        return sockets / SOCKET_SHARE;
     }
 
     /** Buffers that grow with what comes, from little. */
@@ -321,7 +326,12 @@
             if (!channel.isActive()) {
                 return;
             }
-            next();
+            try {
+                next();
+            } catch (RuntimeException | Error e) { // no handler of the channel's hears of it in this turn
+                broken(e);
+                return;
+            }
             boolean partial = !busy && decoder.holdsBytes();
             if (!partial && known) {
                 headSince = 0;
@@ -621,7 +631,7 @@
             if (waiting.isEmpty()) {
                 idle.add(this);
             } else { // not at once: an answer may be given while the request is being taken
-                node.loop.execute(this::next);
+                node.loop.execute(this::look);
             }
         }
 
@@ -648,6 +658,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            broken(cause);
+        }
+
+        private void broken(Throwable cause) {
             if (!(cause instanceof IOException)) {
                 Node.log("defect: a client's connection ended by " + cause);
             }
