Add scale hollow: the module of a whole fleet on one clock

Cause: what the decision module costs and does at hundreds of gateways was only known from plain harnesses of the moment; nothing in the project repeats a figure at the size that is planned for.

Change: `scale hollow` plays any number of decision modules in virtual time against stand-ins for discovery, the quota counter, the meter, seat servers, the front and clients, each written from PROTOCOL, all by parameters and a seed. The module is a black box behind Events and Actions. Chance is drawn by number (customer, try), so two versions of the module meet the same clients. The truth on quotas is kept beside: sent beyond them, refused with room. Arguments by picocli, latencies by HdrHistogram, results as a table and as a line of JSON.

Ruled out: a thread a gateway (order of events would differ from run to run), drawing chance in the order of events (a change of the module would then meet other clients), peers and probes (not in the settings of the planned fleet; the stand-in stops the run if the module uses them).

Not in it yet: faults, real processes.

--- /dev/null
+++ b/src/main/java/deckfall/scale/DiscoveryStandIn.java
@@ -0,0 +1,99 @@
+package deckfall.scale;
+
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Stands in for discovery and the agents beside the gateways: the whole list at first, then changes, each told with
+ * a delay of its own to each gateway and in order. What changes while it can't be reached is told at its return.
+ */
+final class DiscoveryStandIn {
+    /** What a gateway hears. */
+    interface Listener {
+        void hosts(ListKind kind, List<Host> hosts);
+    }
+
+    private static final class Agent {
+        Listener listener;
+        double toldAt;
+        int told; // version
+    }
+
+    private final EventQueue queue;
+    private final HollowOptions options;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final List<List<Host>> changes = new ArrayList<>(); // by version
+    private final Agent[] agents;
+    private final boolean[] silent;
+    private long told;
+
+    DiscoveryStandIn(EventQueue queue, HollowOptions options) {
+        this.queue = queue;
+        this.options = options;
+        agents = new Agent[options.gateways];
+        silent = new boolean[options.gateways];
+    }
+
+    /** Before anything is told. */
+    void list(Host host) {
+        hosts.put(host.id(), host);
+    }
+
+    /** A gateway starts: its agent tells it the whole list at once, as far as the agent knows it. */
+    void watch(int gateway, Listener listener) {
+        Agent agent = new Agent();
+        agent.listener = listener;
+        agent.told = agents[gateway] == null || !silent[gateway] ? changes.size() : agents[gateway].told;
+        agents[gateway] = agent;
+        queue.after(0, () -> listener.hosts(ListKind.FULL, List.copyOf(hosts.values())));
+    }
+
+    void change(List<Host> changed) {
+        for (Host h : changed) {
+            hosts.put(h.id(), h);
+            if (h.state() == deckfall.Gateway.HostState.GONE) {
+                hosts.remove(h.id());
+            }
+        }
+        changes.add(List.copyOf(changed));
+        for (int g = 0; g < agents.length; g++) {
+            tellLater(g);
+        }
+    }
+
+    private void tellLater(int gateway) {
+        Agent agent = agents[gateway];
+        if (agent == null || silent[gateway]) {
+            return;
+        }
+        double late = Chance.uniform(Chance.mixed(options.seed, changes.size()), gateway) * options.discoveryMs;
+        agent.toldAt = Math.max(agent.toldAt, queue.now() + late);
+        queue.at(agent.toldAt, () -> tell(gateway, agent));
+    }
+
+    private void tell(int gateway, Agent agent) {
+        if (agent != agents[gateway] || silent[gateway] || agent.told == changes.size()) {
+            return;
+        }
+        List<Host> news = new ArrayList<>();
+        changes.subList(agent.told, changes.size()).forEach(news::addAll);
+        agent.told = changes.size();
+        told++;
+        agent.listener.hosts(ListKind.CHANGES, news);
+    }
+
+    void silence(int gateway, boolean now) {
+        silent[gateway] = now;
+        if (!now) {
+            tellLater(gateway);
+        }
+    }
+
+    long told() {
+        return told;
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -0,0 +1,189 @@
+package deckfall.scale;
+
+import deckfall.Gateway.Effect;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Plan;
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Rules;
+import deckfall.Gateway.Scope;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ObjDoubleConsumer;
+
+/** All gateways, servers and services of a run, and what passes between them. */
+final class Fleet {
+    private static final int MOST_ATTEMPTS = 3;
+    private static final double CONNECT_MS = 250;
+    private static final int ONCE_EVERY = 3; // of the classes, one that may not be repeated
+    private static final double MOST_RETRY_AFTER_MS = 500;
+    static final int CELL = 20; // servers of a rack
+
+    final EventQueue queue = new EventQueue();
+    final HollowOptions options;
+    final Customers customers;
+    final Quotas quotas;
+    final Figures figures;
+    final Zones zones;
+    final DiscoveryStandIn discovery;
+    final CounterStandIn counter; // null: none
+    final List<SeatServer> servers = new ArrayList<>();
+    final HollowGateway[] gateways;
+    private final Clients clients;
+    private final Meter meter;
+    private final Map<String, SeatServer> serversById = new HashMap<>(); // for look-ups alone
+    private final List<RequestClass> classes = new ArrayList<>();
+    private final List<HollowGateway> ended = new ArrayList<>();
+
+    Fleet(HollowOptions options) {
+        this.options = options;
+        customers = new Customers(options);
+        quotas = new Quotas(customers);
+        figures = new Figures(options);
+        zones = new Zones(options.zones, options.regions, options.nearMs, options.regionMs);
+        discovery = new DiscoveryStandIn(queue, options);
+        counter = options.counterRate <= 0 ? null : new CounterStandIn(queue, options.counterRate,
+                options.counterParts, options.counterMs, options.counterTimeoutMs,
+                options.counterLine * options.counterTimeoutMs);
+        meter = new Meter(customers, options.meterPeriodMs, options.meterLateMs);
+        clients = new Clients(queue, options, customers, this::arrive);
+        gateways = new HollowGateway[options.gateways];
+        for (int i = 0; i < options.classes; i++) {
+            classes.add(new RequestClass("c" + i, i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE, Scope.ALL,
+                    0, options.goalMs, options.deadlineMs, 1, 0, false));
+        }
+        for (int i = 0; i < options.servers; i++) {
+            discovery.list(addServer(zones.ofNumber(i), i / CELL, 0).listed());
+        }
+        for (int g = 0; g < gateways.length; g++) {
+            startGateway(g);
+        }
+    }
+
+    SeatServer addServer(int zone, int cell, double startedMs) {
+        SeatServer s = new SeatServer(queue, options, servers.size(), zone, cell, startedMs);
+        servers.add(s);
+        serversById.put(s.id, s);
+        return s;
+    }
+
+    /** A new process of a gateway; the one before it is to have ended. */
+    HollowGateway startGateway(int number) {
+        int zone = zones.ofNumber(number);
+        if (gateways[number] != null) {
+            ended.add(gateways[number]);
+        }
+        HollowGateway gateway = new HollowGateway(this, settings(number, Zones.name(zone)), number, zone);
+        gateways[number] = gateway;
+        gateway.start();
+        discovery.watch(number, gateway::hosts);
+        return gateway;
+    }
+
+    private Settings settings(int number, String zone) {
+        List<Plan> plans = customers.plans();
+        boolean metered = options.meterLateMs > 0;
+        return new Settings(Chance.mixed(options.seed, number), number, options.gateways, zone, false,
+                List.copyOf(classes), plans, List.of(),
+                new Limits(MOST_ATTEMPTS, false, true, false, false, true, MOST_RETRY_AFTER_MS, CONNECT_MS),
+                new Rules(8, 500, 2, 1000, options.coldFrom, options.warmMs, 0),
+                new Sharing(counter != null, 0.01, metered ? options.meterPeriodMs : 0, false, options.maxUnits, 0,
+                        0, 0, 0));
+    }
+
+    void startClients(double until) {
+        clients.start(until);
+    }
+
+    // ---- clients and gateways
+
+    private void arrive(Try t) {
+        figures.came(t);
+        if (t.earlier == 0) {
+            quotas.offer(t);
+        }
+        if (gateways[t.gateway].alive()) {
+            gateways[t.gateway].request(t);
+        } else {
+            ended(t, Figures.End.NO_GATEWAY, 0);
+        }
+    }
+
+    /** A try has its final answer. */
+    void ended(Try t, Figures.End end, double retryAfterMs) {
+        figures.ended(t, end);
+        if (end == Figures.End.REFUSED) {
+            figures.refusedAdvised += t.measured && retryAfterMs > 0 ? 1 : 0;
+            if (!t.left) {
+                quotas.refused(t, queue.now());
+            }
+        }
+        if (end == Figures.End.REFUSED || end == Figures.End.NO_GATEWAY) {
+            clients.again(t, retryAfterMs);
+        }
+    }
+
+    // ---- gateways and servers
+
+    void attempt(Try.Attempt a) {
+        HollowGateway from = a.gateway;
+        SeatServer to = serversById.get(a.host);
+        double now = queue.now();
+        figures.sent(from.number, to, to.zone != from.zone, now);
+        double way = zones.wayMs(from.zone, to.zone);
+        if (!zones.reach(from.zone, to.zone) || to.state() == SeatServer.State.VANISHED) {
+            queue.after(CONNECT_MS, () -> from.ended(a, Outcome.CONNECT_FAILED, 0));
+        } else {
+            queue.after(way, () -> reach(a, to, way));
+        }
+    }
+
+    private void reach(Try.Attempt a, SeatServer to, double way) {
+        if (!to.accepts()) {
+            queue.after(way, () -> a.gateway.ended(a, Outcome.CONNECT_FAILED, 0));
+            return;
+        }
+        if (!a.of.counted) {
+            a.of.counted = true;
+            quotas.take(a.of, queue.now());
+            meter.use(a.of.customer, a.of.units, queue.now());
+        }
+        to.take(a, outcome -> {
+            if (zones.reach(a.gateway.zone, to.zone)) {
+                boolean tells = outcome == Outcome.OK || outcome == Outcome.FULL;
+                int used = tells ? meter.told(a.of.customer, queue.now()) : 0;
+                queue.after(way, () -> a.gateway.ended(a, outcome, used));
+            }
+        });
+    }
+
+    /** The counter stands in the first zone. */
+    void call(HollowGateway from, String name, double amount, double lifeMs, ObjDoubleConsumer<Outcome> end) {
+        counter.call(name, amount, lifeMs, zones.reach(from.zone, 0), end);
+    }
+
+    // ---- figures over all processes
+
+    long busyNanos() {
+        long sum = 0;
+        for (HollowGateway g : gateways) {
+            sum += g.busyNanos();
+        }
+        for (HollowGateway g : ended) {
+            sum += g.busyNanos();
+        }
+        return sum;
+    }
+
+    /** What discovery now tells of the servers. */
+    void changed(List<SeatServer> changed) {
+        List<Host> hosts = new ArrayList<>();
+        changed.forEach(s -> hosts.add(s.listed()));
+        discovery.change(hosts);
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/HollowGateway.java
@@ -0,0 +1,254 @@
+package deckfall.scale;
+
+import deckfall.Brain;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Events;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.Settings;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One process of a gateway without its sockets: the real decision module, whose actions go to the stand-ins once it
+ * has returned, so that its processor time is its own. It keeps what the program round the module promises: attempts
+ * end at a request's deadline, and a late answer to a counter call is not told.
+ */
+final class HollowGateway implements Actions {
+    private static final int MOST_CALLS_OUT = 256; // of the program's connection to the counter
+    private static final double STUCK_MS = 5000; // after which that connection is given up
+    private static final double[] NO_REPORT = new double[0];
+
+    private enum Event { REQUEST, COUNTED, OTHER }
+
+    private record Count(String name, double amount, double lifeMs) { }
+
+    final int number;
+    final int zone;
+    private final Fleet fleet;
+    private final Settings settings;
+    private final Events module = new Brain(this);
+    private final Map<String, Try> open = new LinkedHashMap<>();
+    private final List<Runnable> actions = new ArrayList<>();
+    private final List<Count> counts = new ArrayList<>();
+    private boolean alive = true;
+    private int undecided;
+    private int callsOut;
+    private long busyNanos;
+
+    HollowGateway(Fleet fleet, Settings settings, int number, int zone) {
+        this.fleet = fleet;
+        this.settings = settings;
+        this.number = number;
+        this.zone = zone;
+    }
+
+    void start() {
+        tell(Event.OTHER, null, () -> module.start(now(), settings));
+    }
+
+    private double now() {
+        return fleet.queue.now();
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    long busyNanos() {
+        return busyNanos;
+    }
+
+    /** Tells the module of an event and then does what it wants. */
+    private void tell(Event kind, Try about, Runnable event) {
+        if (!alive) {
+            return;
+        }
+        long from = System.nanoTime();
+        event.run();
+        busyNanos += System.nanoTime() - from;
+        for (int i = 0; i < actions.size(); i++) {
+            actions.get(i).run();
+        }
+        actions.clear();
+        boolean waits = kind == Event.REQUEST && about.undecided() || kind == Event.COUNTED && undecided > 0;
+        for (int i = 0; i < counts.size(); i++) {
+            call(counts.get(i), waits);
+        }
+        counts.clear();
+    }
+
+    // ---- events
+
+    void hosts(ListKind kind, List<Host> hosts) {
+        tell(Event.OTHER, null, () -> module.hosts(now(), kind, hosts));
+    }
+
+    void request(Try t) {
+        open.put(t.id, t);
+        undecided++;
+        Customers customers = fleet.customers;
+        Request r = new Request(t.id, t.deadlineMs, false, settings.classes().get(t.requestClass).name(),
+                customers.idOf(t.customer), customers.plan(t.customer).name(), t.units,
+                customers.first(t.customer), customers.spread());
+        fleet.queue.at(t.deadlineMs, () -> deadline(t));
+        tell(Event.REQUEST, t, () -> module.request(now(), r));
+    }
+
+    private void deadline(Try t) {
+        if (!alive) {
+            return;
+        }
+        for (int i = 0; i < t.attempts.size(); i++) {
+            ended(t.attempts.get(i), Outcome.TIMEOUT, 0);
+        }
+        if (!t.closed) {
+            close(t, Figures.End.UNANSWERED, 0);
+        }
+    }
+
+    void ended(Try.Attempt a, Outcome outcome, int usedPct) {
+        if (a.ended || !alive) {
+            return;
+        }
+        a.ended = true;
+        Try t = a.of;
+        boolean closes = outcome == Outcome.OK && !t.closed;
+        if (closes) {
+            close(t, Figures.End.SERVED, 0);
+        }
+        AttemptResult r = new AttemptResult(t.id, a.number, a.host, outcome, now() - a.sentAt, closes, usedPct, 0,
+                NO_REPORT);
+        tell(Event.OTHER, null, () -> module.attemptEnded(now(), r));
+        forgetIfOver(t);
+    }
+
+    private void close(Try t, Figures.End end, double retryAfterMs) {
+        undecided -= t.undecided() ? 1 : 0;
+        t.closed = true;
+        forgetIfOver(t);
+        fleet.ended(t, end, retryAfterMs);
+    }
+
+    private void forgetIfOver(Try t) {
+        if (t.closed && !t.anyOut()) {
+            open.remove(t.id);
+        }
+    }
+
+    /** Its process ends: clients see their connections reset. */
+    void die() {
+        alive = false;
+        List<Try> held = new ArrayList<>(open.values());
+        open.clear();
+        for (Try t : held) {
+            t.attempts.forEach(a -> a.ended = true);
+            if (!t.closed) {
+                close(t, Figures.End.NO_GATEWAY, 0);
+            }
+        }
+    }
+
+    // ---- actions
+
+    @Override
+    public void send(String id, String host, double timeoutMs) {
+        actions.add(() -> sendNow(id, host, timeoutMs));
+    }
+
+    private void sendNow(String id, String host, double timeoutMs) {
+        Try t = open.get(id);
+        if (t == null) {
+            return;
+        }
+        Try.Attempt a = new Try.Attempt(this, t, host, now());
+        t.attempts.add(a);
+        if (t.closed || t.attempts.size() > settings.limits().maxAttempts()) {
+            fleet.queue.after(0, () -> ended(a, Outcome.MOOT, 0));
+            return;
+        }
+        if (!t.left) {
+            undecided--;
+            t.left = true;
+            fleet.figures.left(t, now());
+        }
+        if (timeoutMs > 0) {
+            fleet.queue.after(timeoutMs, () -> ended(a, Outcome.TIMEOUT, 0));
+        }
+        fleet.attempt(a);
+    }
+
+    @Override
+    public void cancel(String id, int attempt) {
+        actions.add(() -> {
+            Try t = open.get(id);
+            if (t != null && attempt >= 0 && attempt < t.attempts.size()) {
+                fleet.queue.after(0, () -> ended(t.attempts.get(attempt), Outcome.CANCELLED, 0));
+            }
+        });
+    }
+
+    @Override
+    public void refuse(String id, double retryAfterMs) {
+        actions.add(() -> answer(id, Figures.End.REFUSED, retryAfterMs));
+    }
+
+    @Override
+    public void fail(String id) {
+        actions.add(() -> answer(id, Figures.End.FAILED, 0));
+    }
+
+    private void answer(String id, Figures.End end, double retryAfterMs) {
+        Try t = open.get(id);
+        if (t != null && !t.closed) {
+            close(t, end, retryAfterMs);
+        }
+    }
+
+    @Override
+    public void timer(double delayMs, String token) {
+        fleet.queue.after(delayMs, () -> tell(Event.OTHER, null, () -> module.timer(now(), token)));
+    }
+
+    @Override
+    public void probe(String host) {
+        throw new IllegalStateException("probes are not allowed here");
+    }
+
+    @Override
+    public void tell(int peer, byte[] data) {
+        throw new IllegalStateException("peers are not allowed here");
+    }
+
+    @Override
+    public void count(String counter, double amount, double lifetimeMs) {
+        counts.add(new Count(counter, amount, lifetimeMs));
+    }
+
+    private void call(Count c, boolean waits) {
+        Figures.Call kind = waits ? Figures.Call.REQUESTS_WAIT : Figures.Call.BACKGROUND;
+        fleet.figures.called(number, c.amount == 0 ? Figures.Call.READ : kind, now());
+        if (fleet.counter == null || callsOut >= MOST_CALLS_OUT) {
+            fleet.queue.after(0, () -> counted(c.name, Outcome.CONNECT_FAILED, 0));
+            return;
+        }
+        callsOut++;
+        fleet.call(this, c.name, c.amount, c.lifeMs, (outcome, total) -> {
+            fleet.queue.after(outcome == Outcome.TIMEOUT ? STUCK_MS : 0, () -> callsOut--);
+            counted(c.name, outcome, total);
+        });
+    }
+
+    private void counted(String name, Outcome outcome, double total) {
+        fleet.figures.callEnded(outcome, now());
+        tell(Event.COUNTED, null, () -> module.counted(now(), name, outcome, total));
+    }
+
+    @Override
+    public void watchHosts() { }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -0,0 +1,66 @@
+package deckfall.scale;
+
+import java.io.PrintStream;
+
+/** Plays a run: load to warm up, the measured time, the answers still due, and a while without load. */
+final class HollowRun {
+    private static final double STEP_MS = 100; // of the clock, between looks at the progress
+    private static final double SETTLE_MS = 2000; // after the last deadline, before the time without load
+    private static final long PROGRESS_NANOS = 5_000_000_000L;
+
+    /** Times and memory of the machine that the run was on: informational, they differ from run to run. */
+    record Costs(double loadedCores, double idleCores, double seconds, long memoryBytes) { }
+
+    /** What came of a run. */
+    record Result(Fleet fleet, Costs costs) { }
+
+    private final HollowOptions options;
+    private final PrintStream progress;
+    private final long startedNanos = System.nanoTime();
+    private long toldNanos = startedNanos;
+    private Fleet fleet;
+
+    HollowRun(HollowOptions options, PrintStream progress) {
+        this.options = options;
+        this.progress = progress;
+    }
+
+    Result play() {
+        fleet = new Fleet(options);
+        fleet.startClients(options.endMs());
+        runTo(options.warmUpMs());
+        double loaded = coresUntil(options.endMs());
+        runTo(options.endMs() + options.deadlineMs + SETTLE_MS);
+        double idle = coresUntil(fleet.queue.now() + 1000 * options.idleSeconds);
+        double seconds = (System.nanoTime() - startedNanos) / 1e9;
+        return new Result(fleet, new Costs(loaded, idle, seconds, memory()));
+    }
+
+    /** The module's share of a core at a gateway, up to a time. */
+    private double coresUntil(double endMs) {
+        double from = fleet.queue.now();
+        long busy = fleet.busyNanos();
+        runTo(endMs);
+        double ms = Math.max(1, fleet.queue.now() - from) * options.gateways;
+        return (fleet.busyNanos() - busy) / 1e6 / ms;
+    }
+
+    private void runTo(double endMs) {
+        while (fleet.queue.now() < endMs) {
+            fleet.queue.runTo(Math.min(endMs, fleet.queue.now() + STEP_MS));
+            long now = System.nanoTime();
+            if (now - toldNanos > PROGRESS_NANOS) {
+                toldNanos = now;
+                progress.printf("scale: at %.1f of %.1f s, %d tries, %.0f s gone%n", fleet.queue.now() / 1000,
+                        options.endMs() / 1000 + options.idleSeconds, fleet.figures.allTries,
+                        (now - startedNanos) / 1e9);
+            }
+        }
+    }
+
+    private static long memory() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/Report.java
@@ -0,0 +1,152 @@
+package deckfall.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import deckfall.Gateway.Outcome;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The results of a run as a table to read and as one line of JSON. Figures follow from the arguments alone; costs
+ * are those of the machine.
+ */
+final class Report {
+    private static final int FAILED = 1;
+    private static final double MEGABYTE = 1 << 20;
+
+    private final HollowOptions options;
+    private final HollowRun.Result result;
+    private final Map<String, Object> figures = new LinkedHashMap<>();
+    private final Map<String, Object> costs = new LinkedHashMap<>();
+
+    Report(HollowOptions options, HollowRun.Result result) {
+        this.options = options;
+        this.result = result;
+        tries();
+        quotas();
+        counter();
+        hosts();
+        HollowRun.Costs c = result.costs();
+        costs.put("cpu_loaded_share_of_core", rounded(c.loadedCores()));
+        costs.put("cpu_idle_share_of_core", rounded(c.idleCores()));
+        costs.put("run_seconds", rounded(c.seconds()));
+        costs.put("memory_mb", rounded(c.memoryBytes() / MEGABYTE));
+        costs.put("memory_mb_per_gateway", rounded(c.memoryBytes() / MEGABYTE / options.gateways));
+    }
+
+    Map<String, Object> figures() {
+        return figures;
+    }
+
+    private static double rounded(double value) {
+        return value == 0 || !Double.isFinite(value) ? 0
+                : new java.math.BigDecimal(value).round(new java.math.MathContext(5)).doubleValue();
+    }
+
+    private void put(String name, double value) {
+        figures.put(name, value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value
+                : (Object) rounded(value));
+    }
+
+    private void tries() {
+        Figures f = result.fleet().figures;
+        put("tries_all", f.allTries);
+        put("answers_all", f.allEnds);
+        put("tries", f.tries);
+        put("first_tries", f.firstTries);
+        for (Figures.End end : Figures.End.values()) {
+            put(end.name().toLowerCase(java.util.Locale.ROOT), f.ends(end));
+        }
+        put("refused_advised", f.refusedAdvised);
+        put("attempts", f.attempts);
+        Histogram h = f.holdMicros;
+        put("added_ms_p50", h.getValueAtPercentile(50) / 1000.0);
+        put("added_ms_p99", h.getValueAtPercentile(99) / 1000.0);
+        put("added_ms_p99_9", h.getValueAtPercentile(99.9) / 1000.0);
+    }
+
+    private void quotas() {
+        Figures f = result.fleet().figures;
+        Quotas q = result.fleet().quotas;
+        put("refused_with_room", q.refusedWithRoom());
+        put("refused_with_room_share", share(q.refusedWithRoom(), f.tries));
+        put("units_sent", q.unitsSent());
+        put("units_beyond", q.unitsBeyond());
+        put("units_beyond_share", share(q.unitsBeyond(), q.unitsSent()));
+        put("over_quota_price", share(q.priceBeyond(), q.worthInside()));
+        put("beyond_customers", q.beyond().customers());
+        put("beyond_units_5s_largest", q.beyond().largest());
+        put("beyond_units_5s_mean", q.beyond().mean());
+        put("lacking_customers", q.lacking().customers());
+        put("lacking_units_5s_largest", q.lacking().largest());
+        put("lacking_units_5s_mean", q.lacking().mean());
+    }
+
+    private void counter() {
+        Figures f = result.fleet().figures;
+        put("calls", f.allCalls());
+        put("calls_per_second_mean", f.allCalls() / options.seconds);
+        put("calls_per_second_max", f.mostCallsInSecond());
+        put("calls_per_try", share(f.allCalls(), f.tries));
+        put("calls_per_second_gateway_max", f.mostGatewayCalls());
+        for (Figures.Call call : Figures.Call.values()) {
+            put("calls_" + call.name().toLowerCase(java.util.Locale.ROOT), f.calls.getOrDefault(call, 0L));
+        }
+        put("calls_ok", f.callEnds.getOrDefault(Outcome.OK, 0L));
+        put("calls_busy", f.callEnds.getOrDefault(Outcome.FULL, 0L));
+        put("calls_timeout", f.callEnds.getOrDefault(Outcome.TIMEOUT, 0L));
+        put("calls_refused", f.callEnds.getOrDefault(Outcome.CONNECT_FAILED, 0L));
+        CounterStandIn counter = result.fleet().counter;
+        put("counter_served_all", counter == null ? 0 : counter.served());
+        put("counter_served_in_second_max", counter == null ? 0 : counter.mostServedInSecond());
+        put("counter_names_at_end", counter == null ? 0 : counter.names());
+    }
+
+    private void hosts() {
+        Figures f = result.fleet().figures;
+        put("hosts_used_per_gateway", f.hostsUsed());
+        put("hosts_newly_used_per_gateway", f.hostsNewlyUsed());
+        put("attempts_outside_zone_share", share(f.attemptsElsewhere, f.attempts));
+        put("lists_told", result.fleet().discovery.told());
+    }
+
+    private static double share(double part, double whole) {
+        return whole > 0 ? part / whole : 0;
+    }
+
+    /** The exit code. */
+    int write(PrintStream out) {
+        table(out, "figures, by the seed alone", figures);
+        table(out, "costs, of this machine", costs);
+        return options.json == null ? 0 : append();
+    }
+
+    private static void table(PrintStream out, String title, Map<String, Object> rows) {
+        out.println(title);
+        rows.forEach((name, value) -> out.printf("  %-32s %16s%n", name, value));
+    }
+
+    private int append() {
+        Map<String, Object> line = new LinkedHashMap<>();
+        Map<String, Object> arguments = options.arguments();
+        arguments.remove("json");
+        line.put("run", "hollow");
+        line.put("arguments", arguments);
+        line.put("figures", figures);
+        line.put("costs", costs);
+        try {
+            String text = new ObjectMapper().writeValueAsString(line) + '\n';
+            Files.writeString(options.json.toPath(), text, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
+            return 0;
+        } catch (IOException e) {
+            System.err.println("scale: can't write '" + options.json + "': " + e.getMessage());
+            return FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/deckfall/scale/ScaleTest.java
@@ -0,0 +1,23 @@
+package deckfall.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The command line of the scale runs. */
+class ScaleTest {
+    @ParameterizedTest
+    @ValueSource(strings = {"", "fish", "hollow --servers many", "hollow --servers 0", "hollow --seconds",
+        "hollow --bogus 1", "hollow more", "hollow --spread 101", "hollow --rps NaN", "hollow --zones 0",
+        "hollow --deadline-ms 1", "hollow --json /no/such/folder/file", "hollow --seed 1.5"})
+    void aBadArgumentGetsOnePlainLineAndExitCodeTwo(String line) {
+        StringWriter errors = new StringWriter();
+        int code = Scale.run(new PrintWriter(errors, true), line.isEmpty() ? new String[0] : line.split(" "));
+        assertEquals(2, code);
+        assertTrue(errors.toString().matches("scale: .+\\R"), errors.toString());
+    }
+}
