Play faults in the scale run, and show each second

Cause: the hollow fleet knew calm alone; what a mechanism does at a lost zone, a cut, a release or with a counter that is down could not be seen.

Change: `--fault AT:KIND:LENGTH[:SIZE]`, to be given again, of server-replaced, server-hanging, gateway-replaced, gateway-killed, rack, zone, region-cut, counter-silent, counter-refusing, counter-slow, counter-empty, discovery-down and release. The front notices a dead gateway after 3 s, discovery lost machines after 3 s, the counter of a lost zone is back elsewhere and empty after 5 s; a release starts each process beside the old one, whose memory it takes over. The line of results has sums a second, and the hosts that a gateway used before and since a change of servers.

--- a/src/main/java/deckfall/scale/DiscoveryStandIn.java
+++ b/src/main/java/deckfall/scale/DiscoveryStandIn.java
@@ -43,13 +43,15 @@
         hosts.put(host.id(), host);
     }
 
-    /** A gateway starts: its agent tells it the whole list at once, as far as the agent knows it. */
+    /** A gateway starts: it has the whole list at once, from its agent or, where that is silent, as it was started. */
     void watch(int gateway, Listener listener) {
         Agent agent = new Agent();
         agent.listener = listener;
-        agent.told = agents[gateway] == null || !silent[gateway] ? changes.size() : agents[gateway].told;
+        agent.told = changes.size();
         agents[gateway] = agent;
-        queue.after(0, () -> listener.hosts(ListKind.FULL, List.copyOf(hosts.values())));
+        ListKind kind = silent[gateway] ? ListKind.CACHED : ListKind.FULL;
+        List<Host> all = List.copyOf(hosts.values());
+        queue.after(0, () -> listener.hosts(kind, all));
     }
 
     void change(List<Host> changed) {
--- /dev/null
+++ b/src/main/java/deckfall/scale/FaultSchedule.java
@@ -0,0 +1,209 @@
+package deckfall.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Brings the faults of a schedule about, and mends each when its time is up. */
+final class FaultSchedule {
+    private static final double DRAIN_MS = 2000; // of a server, before its process ends
+    private static final double NOTICED_MS = 3000; // until discovery tells of machines that are gone
+    private static final double MOVED_MS = 5000; // until the counter of a lost zone is back elsewhere
+    private static final double OVERLAP_MS = 500; // of two processes of a gateway, beside its requests' time
+
+    private final Fleet fleet;
+    private final EventQueue queue;
+
+    FaultSchedule(Fleet fleet) {
+        this.fleet = fleet;
+        this.queue = fleet.queue;
+    }
+
+    void place(List<Fault> faults, double fromMs) {
+        for (Fault f : faults) {
+            queue.at(fromMs + f.atMs(), () -> begin(f));
+        }
+    }
+
+    private void begin(Fault f) {
+        switch (f.kind()) {
+            case SERVER_REPLACED -> replaceServers(f);
+            case SERVER_HANGING -> hang(f);
+            case GATEWAY_REPLACED, RELEASE -> replaceGateways(f);
+            case GATEWAY_KILLED -> kill(f);
+            case RACK -> lose(f, s -> s.cell < f.count());
+            case ZONE -> loseZone(f);
+            case REGION_CUT -> cut(f);
+            case COUNTER_SILENT -> counter(f, CounterStandIn.Mode.SILENT, false);
+            case COUNTER_REFUSING -> counter(f, CounterStandIn.Mode.REFUSING, false);
+            case COUNTER_EMPTY -> counter(f, CounterStandIn.Mode.SILENT, true);
+            case COUNTER_SLOW -> slowCounter(f);
+            case DISCOVERY_DOWN -> silence(f, g -> true);
+        }
+    }
+
+    /** {@code i} of {@code count} things that are chosen evenly among {@code all}. */
+    private static int chosen(int i, int count, int all) {
+        return (int) ((long) i * all / count);
+    }
+
+    // ---- servers
+
+    private void replaceServers(Fault f) {
+        fleet.figures.serversChange();
+        int count = Math.min(f.count(), fleet.options.servers);
+        for (int i = 0; i < count; i++) {
+            SeatServer old = fleet.servers.get(chosen(i, count, fleet.options.servers));
+            queue.after(f.lengthMs() * i / count, () -> replace(old));
+        }
+    }
+
+    private void replace(SeatServer old) {
+        if (old.state() != SeatServer.State.SERVING) {
+            return;
+        }
+        old.drain();
+        fleet.changed(List.of(old, fleet.addServer(old.zone, old.cell, queue.now())));
+        queue.after(DRAIN_MS, () -> {
+            old.die();
+            fleet.changed(List.of(old));
+        });
+    }
+
+    private void hang(Fault f) {
+        int count = Math.min(f.count(), fleet.options.servers);
+        for (int i = 0; i < count; i++) {
+            SeatServer s = fleet.servers.get(chosen(i, count, fleet.options.servers));
+            s.hang(true);
+            queue.after(f.lengthMs(), () -> s.hang(false));
+        }
+    }
+
+    /** Their machines say nothing any more, and are back with a cold start. */
+    private void lose(Fault f, Predicate<SeatServer> which) {
+        fleet.figures.serversChange();
+        List<SeatServer> lost = new ArrayList<>(fleet.servers);
+        lost.removeIf(s -> !which.test(s) || s.state() != SeatServer.State.SERVING);
+        lost.forEach(SeatServer::vanish);
+        queue.after(NOTICED_MS, () -> fleet.changed(lost));
+        queue.after(Math.max(NOTICED_MS, f.lengthMs()), () -> {
+            lost.forEach(SeatServer::restart);
+            fleet.changed(lost);
+        });
+    }
+
+    // ---- gateways
+
+    private void kill(Fault f) {
+        int count = Math.min(f.count(), fleet.options.gateways);
+        for (int i = 0; i < count; i++) {
+            lose(chosen(i, count, fleet.options.gateways), f.lengthMs());
+        }
+    }
+
+    private void lose(int gateway, double lengthMs) {
+        fleet.gateways[gateway].die();
+        queue.after(Front.NOTICES_MS, () -> fleet.front.sees(gateway));
+        queue.after(lengthMs, () -> {
+            fleet.startGateway(gateway);
+            fleet.front.sees(gateway);
+        });
+    }
+
+    /** On a new machine, which remembers nothing, or in a release beside the old process, of which it learns. */
+    private void replaceGateways(Fault f) {
+        boolean release = f.kind() == Fault.Kind.RELEASE;
+        int all = fleet.options.gateways;
+        int count = release ? all : Math.min(f.count(), all);
+        int steps = release ? Math.max(1, f.count()) : count;
+        for (int i = 0; i < count; i++) {
+            int gateway = chosen(i, count, all);
+            double at = f.lengthMs() * (int) ((long) i * steps / count) / steps;
+            queue.after(at, () -> replaceGateway(gateway, release));
+        }
+    }
+
+    private void replaceGateway(int number, boolean release) {
+        HollowGateway old = fleet.gateways[number];
+        if (!old.alive()) {
+            return;
+        }
+        HollowGateway next = fleet.startGateway(number);
+        if (release) {
+            next.follow(old);
+        }
+        queue.after(fleet.options.deadlineMs + OVERLAP_MS, () -> {
+            old.die();
+            if (release && next.alive()) {
+                next.besides(1);
+            }
+        });
+    }
+
+    // ---- zones and regions
+
+    private void loseZone(Fault f) {
+        int zone = f.size() < 0 ? fleet.options.zones - 1 : f.count() % fleet.options.zones;
+        lose(f, s -> s.zone == zone);
+        for (HollowGateway g : fleet.gateways.clone()) {
+            if (g.zone == zone && g.alive()) {
+                lose(g.number, f.lengthMs());
+            }
+        }
+        if (zone == Fleet.SERVICES_ZONE) {
+            setCounter(CounterStandIn.Mode.SILENT);
+            queue.after(MOVED_MS, () -> {
+                empty();
+                setCounter(CounterStandIn.Mode.SERVING);
+            });
+        }
+    }
+
+    /** Discovery and the counter are on one side alone. */
+    private void cut(Fault f) {
+        int side = fleet.zones.region(Fleet.SERVICES_ZONE);
+        fleet.zones.cut(true);
+        silence(f, g -> fleet.zones.region(g.zone) != side);
+        queue.after(f.lengthMs(), () -> fleet.zones.cut(false));
+    }
+
+    private void silence(Fault f, Predicate<HollowGateway> which) {
+        for (HollowGateway g : fleet.gateways) {
+            if (which.test(g)) {
+                fleet.discovery.silence(g.number, true);
+                queue.after(f.lengthMs(), () -> fleet.discovery.silence(g.number, false));
+            }
+        }
+    }
+
+    // ---- the counter
+
+    private void setCounter(CounterStandIn.Mode mode) {
+        if (fleet.counter != null) {
+            fleet.counter.set(mode);
+        }
+    }
+
+    private void empty() {
+        if (fleet.counter != null) {
+            fleet.counter.empty();
+        }
+    }
+
+    private void counter(Fault f, CounterStandIn.Mode mode, boolean empties) {
+        setCounter(mode);
+        queue.after(f.lengthMs(), () -> {
+            if (empties) {
+                empty();
+            }
+            setCounter(CounterStandIn.Mode.SERVING);
+        });
+    }
+
+    private void slowCounter(Fault f) {
+        if (fleet.counter != null) {
+            fleet.counter.slow(Math.max(1, f.size()));
+            queue.after(f.lengthMs(), () -> fleet.counter.slow(1));
+        }
+    }
+}
--- a/src/main/java/deckfall/scale/Figures.java
+++ b/src/main/java/deckfall/scale/Figures.java
@@ -29,17 +29,16 @@
     long refusedAdvised; // with a time to come back
     long attempts;
     long attemptsElsewhere; // out of the own zone
-    long peerMessages;
-    private final long[] callsInSecond;
     private final int[] gatewayCalls;
     private final long[] gatewaySecond;
     private int mostGatewayCalls;
+    final Seconds seconds;
     private final BitSet[] used;
     private final BitSet[] usedBefore;
 
     Figures(HollowOptions options) {
         this.options = options;
-        callsInSecond = new long[(int) Math.ceil(options.seconds)];
+        seconds = new Seconds(options.warmUpMs(), (int) Math.ceil(options.seconds));
         gatewayCalls = new int[options.gateways];
         gatewaySecond = new long[options.gateways];
         used = new BitSet[options.gateways];
@@ -60,12 +59,16 @@
 
     void came(Try t) {
         allTries++;
+        seconds.add(Seconds.Sum.TRIES, t.arrivedMs, 1);
         tries += t.measured ? 1 : 0;
         firstTries += t.measured && t.earlier == 0 ? 1 : 0;
     }
 
-    void ended(Try t, End end) {
+    void ended(Try t, End end, double nowMs) {
         allEnds++;
+        if (end == End.SERVED || end == End.REFUSED) {
+            seconds.add(end == End.SERVED ? Seconds.Sum.SERVED : Seconds.Sum.REFUSED, nowMs, 1);
+        }
         if (t.measured) {
             add(ends, end);
         }
@@ -91,7 +94,7 @@
         }
         add(calls, call);
         long second = (long) ((nowMs - options.warmUpMs()) / 1000);
-        callsInSecond[(int) second]++;
+        seconds.add(Seconds.Sum.CALLS, nowMs, 1);
         gatewayCalls[gateway] = gatewaySecond[gateway] == second ? gatewayCalls[gateway] + 1 : 1;
         gatewaySecond[gateway] = second;
         mostGatewayCalls = Math.max(mostGatewayCalls, gatewayCalls[gateway]);
@@ -99,14 +102,11 @@
 
     void callEnded(Outcome outcome, double nowMs) {
         if (measured(nowMs)) {
+            seconds.add(Seconds.Sum.CALLS_OK, nowMs, outcome == Outcome.OK ? 1 : 0);
             add(callEnds, outcome);
         }
     }
 
-    void told(double nowMs) {
-        peerMessages += measured(nowMs) ? 1 : 0;
-    }
-
     long ends(End end) {
         return ends.getOrDefault(end, 0L);
     }
@@ -115,14 +115,6 @@
         return calls.values().stream().mapToLong(n -> n).sum();
     }
 
-    long mostCallsInSecond() {
-        long most = 0;
-        for (long n : callsInSecond) {
-            most = Math.max(most, n);
-        }
-        return most;
-    }
-
     int mostGatewayCalls() {
         return mostGatewayCalls;
     }
@@ -135,13 +127,21 @@
         }
     }
 
-    /** In the mean of all gateways. */
+    /** In the mean of all gateways; since the last change of servers, where there was one. */
     double hostsUsed() {
+        return mean(used);
+    }
+
+    double hostsUsedBefore() {
+        return mean(usedBefore);
+    }
+
+    private static double mean(BitSet[] sets) {
         double sum = 0;
-        for (BitSet u : used) {
-            sum += u.cardinality();
+        for (BitSet s : sets) {
+            sum += s.cardinality();
         }
-        return sum / used.length;
+        return sum / sets.length;
     }
 
     /** Servers of the first list that a gateway uses only since the change, in the mean; 0 without a change. */
--- a/src/main/java/deckfall/scale/Fleet.java
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -22,7 +22,8 @@
     private static final double CONNECT_MS = 250;
     private static final int ONCE_EVERY = 3; // of the classes, one that may not be repeated
     private static final double MOST_RETRY_AFTER_MS = 500;
-    static final int CELL = 20; // servers of a rack
+    static final int SERVICES_ZONE = 0; // where discovery and the counter stand
+    private static final int RACK = 20; // servers of one zone
 
     final EventQueue queue = new EventQueue();
     final HollowOptions options;
@@ -34,17 +35,19 @@
     final CounterStandIn counter; // null: none
     final List<SeatServer> servers = new ArrayList<>();
     final HollowGateway[] gateways;
+    final Front front;
     private final Clients clients;
     private final Meter meter;
     private final Map<String, SeatServer> serversById = new HashMap<>(); // for look-ups alone
     private final List<RequestClass> classes = new ArrayList<>();
-    private final List<HollowGateway> ended = new ArrayList<>();
+    private int gatewaysStarted;
+    private long endedNanos;
 
     Fleet(HollowOptions options) {
         this.options = options;
         customers = new Customers(options);
-        quotas = new Quotas(customers);
         figures = new Figures(options);
+        quotas = new Quotas(customers, figures.seconds);
         zones = new Zones(options.zones, options.regions, options.nearMs, options.regionMs);
         discovery = new DiscoveryStandIn(queue, options);
         counter = options.counterRate <= 0 ? null : new CounterStandIn(queue, options.counterRate,
@@ -53,18 +56,23 @@
         meter = new Meter(customers, options.meterPeriodMs, options.meterLateMs);
         clients = new Clients(queue, options, customers, this::arrive);
         gateways = new HollowGateway[options.gateways];
+        front = new Front(this);
         for (int i = 0; i < options.classes; i++) {
             classes.add(new RequestClass("c" + i, i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE, Scope.ALL,
                     0, options.goalMs, options.deadlineMs, 1, 0, false));
         }
         for (int i = 0; i < options.servers; i++) {
-            discovery.list(addServer(zones.ofNumber(i), i / CELL, 0).listed());
+            discovery.list(addServer(zones.ofNumber(i), rack(i), 0).listed());
         }
         for (int g = 0; g < gateways.length; g++) {
             startGateway(g);
         }
     }
 
+    private int rack(int server) {
+        return server / (options.zones * RACK) * options.zones + zones.ofNumber(server);
+    }
+
     SeatServer addServer(int zone, int cell, double startedMs) {
         SeatServer s = new SeatServer(queue, options, servers.size(), zone, cell, startedMs);
         servers.add(s);
@@ -72,14 +80,12 @@
         return s;
     }
 
-    /** A new process of a gateway; the one before it is to have ended. */
+    /** A new process of a gateway, to which new tries go. */
     HollowGateway startGateway(int number) {
         int zone = zones.ofNumber(number);
-        if (gateways[number] != null) {
-            ended.add(gateways[number]);
-        }
         HollowGateway gateway = new HollowGateway(this, settings(number, Zones.name(zone)), number, zone);
         gateways[number] = gateway;
+        gatewaysStarted++;
         gateway.start();
         discovery.watch(number, gateway::hosts);
         return gateway;
@@ -107,6 +113,7 @@
         if (t.earlier == 0) {
             quotas.offer(t);
         }
+        t.gateway = front.gatewayFor(t);
         if (gateways[t.gateway].alive()) {
             gateways[t.gateway].request(t);
         } else {
@@ -116,7 +123,7 @@
 
     /** A try has its final answer. */
     void ended(Try t, Figures.End end, double retryAfterMs) {
-        figures.ended(t, end);
+        figures.ended(t, end, queue.now());
         if (end == Figures.End.REFUSED) {
             figures.refusedAdvised += t.measured && retryAfterMs > 0 ? 1 : 0;
             if (!t.left) {
@@ -144,7 +151,10 @@
     }
 
     private void reach(Try.Attempt a, SeatServer to, double way) {
-        if (!to.accepts()) {
+        if (to.state() == SeatServer.State.VANISHED) {
+            return; // nothing comes back
+        }
+        if (to.state() == SeatServer.State.DEAD) {
             queue.after(way, () -> a.gateway.ended(a, Outcome.CONNECT_FAILED, 0));
             return;
         }
@@ -162,9 +172,8 @@
         });
     }
 
-    /** The counter stands in the first zone. */
     void call(HollowGateway from, String name, double amount, double lifeMs, ObjDoubleConsumer<Outcome> end) {
-        counter.call(name, amount, lifeMs, zones.reach(from.zone, 0), end);
+        counter.call(name, amount, lifeMs, zones.reach(from.zone, SERVICES_ZONE), end);
     }
 
     // ---- figures over all processes
@@ -172,12 +181,17 @@
     long busyNanos() {
         long sum = 0;
         for (HollowGateway g : gateways) {
-            sum += g.busyNanos();
-        }
-        for (HollowGateway g : ended) {
-            sum += g.busyNanos();
+            sum += g.alive() ? g.busyNanos() : 0;
         }
-        return sum;
+        return sum + endedNanos;
+    }
+
+    int gatewaysStarted() {
+        return gatewaysStarted;
+    }
+
+    void processEnded(HollowGateway gateway) {
+        endedNanos += gateway.busyNanos();
     }
 
     /** What discovery now tells of the servers. */
--- a/src/main/java/deckfall/scale/HollowGateway.java
+++ b/src/main/java/deckfall/scale/HollowGateway.java
@@ -83,6 +83,17 @@
         counts.clear();
     }
 
+    /** Serves beside a process of the same gateway from now on, whose memory it takes over. */
+    void follow(HollowGateway other) {
+        tell(Event.OTHER, null, () -> module.recall(now(), other.module.remember(now())));
+        besides(2);
+        other.besides(2);
+    }
+
+    void besides(int processes) {
+        tell(Event.OTHER, null, () -> module.besides(now(), processes));
+    }
+
     // ---- events
 
     void hosts(ListKind kind, List<Host> hosts) {
@@ -143,7 +154,11 @@
 
     /** Its process ends: clients see their connections reset. */
     void die() {
+        if (!alive) {
+            return;
+        }
         alive = false;
+        fleet.processEnded(this);
         List<Try> held = new ArrayList<>(open.values());
         open.clear();
         for (Try t : held) {
--- a/src/main/java/deckfall/scale/HollowOptions.java
+++ b/src/main/java/deckfall/scale/HollowOptions.java
@@ -1,6 +1,10 @@
 package deckfall.scale;
 
 import java.io.File;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -94,6 +98,9 @@
     double meterPeriodMs;
     @Option(names = "--meter-late-ms", defaultValue = "350", description = "0: no meter (${DEFAULT-VALUE})")
     double meterLateMs;
+    @Option(names = "--fault", paramLabel = "AT:KIND:LENGTH[:SIZE]", converter = Fault.Reader.class,
+            description = "seconds after the warm-up, kind, seconds, size; may be given again")
+    List<Fault> faults = new ArrayList<>();
     @Option(names = "--json", paramLabel = "FILE", description = "a line of results is added to it")
     File json;
 
@@ -137,6 +144,9 @@
         within("--counter-line", counterLine, 0, MOST_SECONDS);
         within("--meter-period-ms", meterPeriodMs, 1, MOST_MS);
         within("--meter-late-ms", meterLateMs, 0, MOST_MS);
+        if (regions == 1 && faults.stream().anyMatch(f -> f.kind() == Fault.Kind.REGION_CUT)) {
+            throw bad("--fault: region-cut needs --regions 2 or more");
+        }
         if (json != null && (json.isDirectory() || json.exists() && !json.canWrite()
                 || !json.getAbsoluteFile().getParentFile().isDirectory())) {
             throw bad("--json: can't write '" + json + "'");
@@ -172,10 +182,11 @@
     }
 
     /** Each argument with its value. */
-    java.util.Map<String, Object> arguments() {
-        java.util.Map<String, Object> all = new java.util.LinkedHashMap<>();
+    Map<String, Object> arguments() {
+        Map<String, Object> all = new LinkedHashMap<>();
         spec.options().stream().filter(o -> !o.usageHelp() && !o.versionHelp() && o.getValue() != null)
                 .forEach(o -> all.put(o.longestName().substring(2), o.getValue()));
+        all.put("fault", faults.stream().map(Fault::toString).toList());
         return all;
     }
 }
--- a/src/main/java/deckfall/scale/HollowRun.java
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -28,6 +28,7 @@
     Result play() {
         fleet = new Fleet(options);
         fleet.startClients(options.endMs());
+        new FaultSchedule(fleet).place(options.faults, options.warmUpMs());
         runTo(options.warmUpMs());
         double loaded = coresUntil(options.endMs());
         runTo(options.endMs() + options.deadlineMs + SETTLE_MS);
--- a/src/main/java/deckfall/scale/Quotas.java
+++ b/src/main/java/deckfall/scale/Quotas.java
@@ -11,6 +11,7 @@
     static final double WINDOW_MS = 5000; // in which a customer's excess and lack are added up
 
     private final Customers customers;
+    private final Seconds seconds;
     private final double[] stored;
     private final double[] storedAt;
     private final double[] offered;
@@ -23,7 +24,8 @@
     private double worthInside;
     private long refusedWithRoom;
 
-    Quotas(Customers customers) {
+    Quotas(Customers customers, Seconds seconds) {
+        this.seconds = seconds;
         this.customers = customers;
         stored = new double[customers.count()];
         storedAt = new double[customers.count()];
@@ -56,6 +58,8 @@
         Plan plan = customers.plan(t.customer);
         boolean inside = filled(plan, stored, storedAt, t.customer, nowMs) >= t.units;
         stored[t.customer] -= inside ? t.units : 0;
+        seconds.add(Seconds.Sum.UNITS_SENT, nowMs, t.units);
+        seconds.add(Seconds.Sum.UNITS_BEYOND, nowMs, inside ? 0 : t.units);
         if (!t.measured) {
             return;
         }
@@ -67,15 +71,15 @@
         }
     }
 
-    /** A try that was never sent on was refused; true where half of the store lay unused. */
-    boolean refused(Try t, double nowMs) {
+    /** A try that was never sent on was refused: with room, where half of the store lay unused. */
+    void refused(Try t, double nowMs) {
         Plan plan = customers.plan(t.customer);
         boolean room = filled(plan, stored, storedAt, t.customer, nowMs) >= Math.max(t.units, plan.burst() / 2);
+        seconds.add(Seconds.Sum.REFUSED_WITH_ROOM, nowMs, room ? 1 : 0);
         if (room && t.measured) {
             refusedWithRoom++;
             lacking.add(t.customer, nowMs, t.units);
         }
-        return room;
     }
 
     double unitsSent() {
--- a/src/main/java/deckfall/scale/Report.java
+++ b/src/main/java/deckfall/scale/Report.java
@@ -91,7 +91,7 @@
         Figures f = result.fleet().figures;
         put("calls", f.allCalls());
         put("calls_per_second_mean", f.allCalls() / options.seconds);
-        put("calls_per_second_max", f.mostCallsInSecond());
+        put("calls_per_second_max", f.seconds.most(Seconds.Sum.CALLS));
         put("calls_per_try", share(f.allCalls(), f.tries));
         put("calls_per_second_gateway_max", f.mostGatewayCalls());
         for (Figures.Call call : Figures.Call.values()) {
@@ -110,8 +110,10 @@
     private void hosts() {
         Figures f = result.fleet().figures;
         put("hosts_used_per_gateway", f.hostsUsed());
+        put("hosts_used_before_change", f.hostsUsedBefore());
         put("hosts_newly_used_per_gateway", f.hostsNewlyUsed());
         put("attempts_outside_zone_share", share(f.attemptsElsewhere, f.attempts));
+        put("gateways_started", result.fleet().gatewaysStarted());
         put("lists_told", result.fleet().discovery.told());
     }
 
@@ -138,6 +140,7 @@
         line.put("run", "hollow");
         line.put("arguments", arguments);
         line.put("figures", figures);
+        line.put("per_second", result.fleet().figures.seconds.all());
         line.put("costs", costs);
         try {
             String text = new ObjectMapper().writeValueAsString(line) + '\n';
--- a/src/main/java/deckfall/scale/SeatServer.java
+++ b/src/main/java/deckfall/scale/SeatServer.java
@@ -93,11 +93,6 @@
         ended.forEach(w -> w.end.accept(outcome));
     }
 
-    /** True where a connection to it comes up. */
-    boolean accepts() {
-        return state != State.DEAD && state != State.VANISHED;
-    }
-
     /** A copy has come whole. */
     void take(Try.Attempt attempt, Consumer<Outcome> end) {
         Work work = new Work(attempt, end);
--- a/src/test/java/deckfall/scale/HollowRunTest.java
+++ b/src/test/java/deckfall/scale/HollowRunTest.java
@@ -8,7 +8,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import picocli.CommandLine;
 
 /** A short run of a small fleet in virtual time: what is counted, never how long it took. */
@@ -16,6 +19,12 @@
     private static final int COUNTER_RATE = 200;
     private static final int PARTS = 2;
 
+    private static final String[] FAULTS_ASIDE = {"--counter-rate", "20000", "--regions", "2", "--zones", "4"};
+
+    private static String[] with(String[] some, String... more) {
+        return Stream.concat(Stream.of(some), Stream.of(more)).toArray(String[]::new);
+    }
+
     private static Map<String, Object> play(String... more) {
         List<String> arguments = new ArrayList<>(List.of("--gateways", "10", "--servers", "20", "--tenants", "600",
                 "--rps", "1000", "--seconds", "3", "--warm-up-seconds", "2", "--classes", "5", "--counter-rate",
@@ -55,6 +64,39 @@
         assertTrue(count(f, "counter_served_in_second_max") <= COUNTER_RATE + PARTS, f.toString());
     }
 
+    /** What each fault is seen by; without one there is none of it. */
+    @ParameterizedTest
+    @CsvSource({"server-replaced:1:3, lists_told", "server-replaced:1:3, hosts_newly_used_per_gateway",
+        "server-hanging:2:4, failed", "gateway-killed:2:2, no_gateway", "rack:2, lists_told", "zone:2, no_gateway",
+        "zone:2:0, calls_timeout", "region-cut:2, calls_timeout", "counter-silent:1, calls_timeout",
+        "counter-refusing:1, calls_refused", "counter-slow:1:100, calls_busy", "counter-empty:1, calls_timeout"})
+    void aFaultShowsAndEveryTryHasItsAnswer(String fault, String seenBy) {
+        Map<String, Object> calm = play(FAULTS_ASIDE);
+        Map<String, Object> f = play(with(FAULTS_ASIDE, "--fault", "0.5:" + fault));
+        assertEquals(0, count(calm, seenBy));
+        assertTrue(((Number) f.get(seenBy)).doubleValue() > 0, f.toString());
+        assertEquals(count(f, "tries_all"), count(f, "answers_all"));
+        assertEquals(0, count(f, "unanswered"));
+    }
+
+    @Test
+    void aReleaseStartsEachGatewayAnewAndLosesNothing() {
+        Map<String, Object> f = play("--fault", "0.5:release:1:5", "--fault", "2:gateway-replaced:0.2:3");
+        assertEquals(10 + 10 + 3, count(f, "gateways_started"));
+        assertEquals(0, count(f, "no_gateway") + count(f, "unanswered"));
+        assertEquals(count(f, "tries_all"), count(f, "answers_all"));
+    }
+
+    /** What changes while discovery is silent is told at once at its return. */
+    @Test
+    void whatChangesWhileDiscoveryIsDownIsToldTogether() {
+        String[] replaced = {"--fault", "0.5:server-replaced:1:2", "--discovery-ms", "100"};
+        long told = count(play(replaced), "lists_told");
+        long toldAfter = count(play(with(replaced, "--fault", "0.4:discovery-down:4")), "lists_told");
+        assertEquals(4 * 10, told); // two starts and two ends, to each gateway
+        assertEquals(10, toldAfter);
+    }
+
     /** A customer's set of one gateway sees all of its use: the module's stores and the true ones agree. */
     @Test
     void oneGatewayACustomerKeepsQuotasWithoutACounter() {
