Start hollow gateways at moments of their own; time the module by the thread's share

Cause: all gateways of a run started at one moment, so that their beats of 20 ms and with them all calls of the counter that nobody waits for came together; a fleet's do not. And the module's time was taken by the clock on the wall, in which a busy machine's other work and collections of garbage are.

Change: each gateway starts at its own moment of the first second (Fleet), clients come after it; the figures of the module's time are scaled by the part of the time that the thread ran (HollowRun.coresUntil).

Ruled out: starting them over the warm-up (a run could not be compared with one of another warm-up).

--- a/src/main/java/deckfall/scale/Fleet.java
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -65,7 +65,9 @@
             discovery.list(addServer(zones.ofNumber(i), rack(i), 0).listed());
         }
         for (int g = 0; g < gateways.length; g++) {
-            startGateway(g);
+            int number = g; // none in step with another: their beats would meet at the counter
+            double at = Chance.between(0, HollowOptions.START_MS, Chance.mixed(options.seed, number), -1);
+            queue.at(at, () -> startGateway(number));
         }
     }
 
--- a/src/main/java/deckfall/scale/HollowOptions.java
+++ b/src/main/java/deckfall/scale/HollowOptions.java
@@ -16,6 +16,7 @@
 @Command(name = "hollow", description = "The decision module of a whole fleet on one clock, against stand-ins.",
         sortOptions = false, mixinStandardHelpOptions = true)
 final class HollowOptions implements Callable<Integer> {
+    static final double START_MS = 1000; // in which the gateways start, each at a moment of its own
     private static final double USED = 0.5; // of the servers' slots, where these are not given
     private static final int MOST_GATEWAYS = 10_000;
     private static final int MOST_SERVERS = 100_000;
@@ -169,11 +170,11 @@
     }
 
     double warmUpMs() {
-        return 1000 * warmUpSeconds;
+        return START_MS + 1000 * warmUpSeconds;
     }
 
     double endMs() {
-        return 1000 * (warmUpSeconds + seconds);
+        return warmUpMs() + 1000 * seconds;
     }
 
     /** Requests in work at a server. */
--- a/src/main/java/deckfall/scale/HollowRun.java
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -1,12 +1,15 @@
 package deckfall.scale;
 
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 
 /** Plays a run: load to warm up, the measured time, the answers still due, and a while without load. */
 final class HollowRun {
     private static final double STEP_MS = 100; // of the clock, between looks at the progress
     private static final double SETTLE_MS = 2000; // after the last deadline, before the time without load
     private static final long PROGRESS_NANOS = 5_000_000_000L;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     /** Times and memory of the machine that the run was on: informational, they differ from run to run. */
     record Costs(double loadedCores, double idleCores, double seconds, long memoryBytes) { }
@@ -27,6 +30,7 @@
 
     Result play() {
         fleet = new Fleet(options);
+        runTo(HollowOptions.START_MS);
         fleet.startClients(options.endMs());
         new FaultSchedule(fleet).place(options.faults, options.warmUpMs());
         runTo(options.warmUpMs());
@@ -37,13 +41,19 @@
         return new Result(fleet, new Costs(loaded, idle, seconds, memory()));
     }
 
-    /** The module's share of a core at a gateway, up to a time. */
+    /**
+     * The module's share of a core at a gateway, up to a time. It is timed by the clock on the wall, of which the
+     * thread has only a part on a machine that is busy or collects garbage: the same part of all is taken off.
+     */
     private double coresUntil(double endMs) {
         double from = fleet.queue.now();
         long busy = fleet.busyNanos();
+        long wall = System.nanoTime();
+        long processor = THREADS.getCurrentThreadCpuTime();
         runTo(endMs);
+        double ran = (THREADS.getCurrentThreadCpuTime() - processor) / Math.max(1.0, System.nanoTime() - wall);
         double ms = Math.max(1, fleet.queue.now() - from) * options.gateways;
-        return (fleet.busyNanos() - busy) / 1e6 / ms;
+        return (fleet.busyNanos() - busy) / 1e6 / ms * Math.min(1, ran);
     }
 
     private void runTo(double endMs) {
