Add scale real: real gateways among hollow ones, on loopback

Cause: what a gateway's process costs beside its decision module (sockets, timers, parsers, the virtual machine), and the time that it adds to a request, does not show in a hollow run.

Change: `scale real` starts a few processes by `run` of the deploy file. The one clock follows the real one on the thread that serves the stand-ins' sockets, so that discovery, counter, meter and servers are the same objects for hollow gateways and real ones. It measures the processes' time and resident memory, bytes and messages on their connections to discovery and counter, without load and with it, and pairs each request with one that goes to a server directly and takes as long there. `--hollow N` leaves out the rest of a fleet that one thread can't bear. Bounds: 200 processes, half of the machine's memory, loopback and ports that the system chooses; all that was started is ended.

The new tests fail with calls cut off at the counter and with a descendant left alive.

Ruled out: a thread for each stand-in (lists, counter and stores would need locks, and hollow gateways another counter), one listener for all servers (an address tells which server is meant).

--- a/src/main/java/deckfall/scale/CounterStandIn.java
+++ b/src/main/java/deckfall/scale/CounterStandIn.java
@@ -23,7 +23,6 @@
     private final EventQueue queue;
     private final double serviceMs; // of a part
     private final double wayMs;
-    private final double timeoutMs;
     private final double longestWaitMs;
     private final double[] freeAt;
     private final Map<String, Total> totals = new HashMap<>(); // looked up by name, never gone through in order
@@ -35,19 +34,19 @@
     private long mostServedInSecond;
     private long second;
 
-    CounterStandIn(EventQueue queue, double callsPerSecond, int parts, double roundTripMs, double timeoutMs,
+    CounterStandIn(EventQueue queue, double callsPerSecond, int parts, double roundTripMs,
             double longestWaitMs) {
         this.queue = queue;
         this.serviceMs = 1000 * parts / callsPerSecond;
         this.wayMs = roundTripMs / 2;
-        this.timeoutMs = timeoutMs;
         this.longestWaitMs = longestWaitMs;
         this.freeAt = new double[parts];
         queue.after(SWEEP_MS, this::sweep);
     }
 
     /** Tells the end once: the answer, or {@code TIMEOUT} when its time is up; the amount may be added later still. */
-    void call(String name, double amount, double lifeMs, boolean reachable, ObjDoubleConsumer<Outcome> end) {
+    void call(String name, double amount, double lifeMs, double timeoutMs, boolean reachable,
+            ObjDoubleConsumer<Outcome> end) {
         double sentAt = queue.now();
         if (mode == Mode.REFUSING && reachable) {
             queue.after(2 * wayMs, () -> end.accept(Outcome.CONNECT_FAILED, 0));
--- a/src/main/java/deckfall/scale/FaultSchedule.java
+++ b/src/main/java/deckfall/scale/FaultSchedule.java
@@ -124,13 +124,13 @@
     }
 
     private void replaceGateway(int number, boolean release) {
-        HollowGateway old = fleet.gateways[number];
+        FleetGateway old = fleet.gateways[number];
         if (!old.alive()) {
             return;
         }
         HollowGateway next = fleet.startGateway(number);
-        if (release) {
-            next.follow(old);
+        if (release && old instanceof HollowGateway former) {
+            next.follow(former);
         }
         queue.after(fleet.options.deadlineMs + OVERLAP_MS, () -> {
             old.die();
@@ -145,7 +145,7 @@
     private void loseZone(Fault f) {
         int zone = f.size() < 0 ? fleet.options.zones - 1 : f.count() % fleet.options.zones;
         lose(f, s -> s.zone == zone);
-        for (HollowGateway g : fleet.gateways.clone()) {
+        for (FleetGateway g : fleet.gateways.clone()) {
             if (g.zone == zone && g.alive()) {
                 lose(g.number, f.lengthMs());
             }
@@ -167,8 +167,8 @@
         queue.after(f.lengthMs(), () -> fleet.zones.cut(false));
     }
 
-    private void silence(Fault f, Predicate<HollowGateway> which) {
-        for (HollowGateway g : fleet.gateways) {
+    private void silence(Fault f, Predicate<FleetGateway> which) {
+        for (FleetGateway g : fleet.gateways) {
             if (which.test(g)) {
                 fleet.discovery.silence(g.number, true);
                 queue.after(f.lengthMs(), () -> fleet.discovery.silence(g.number, false));
--- a/src/main/java/deckfall/scale/Fleet.java
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -34,7 +34,7 @@
     final DiscoveryStandIn discovery;
     final CounterStandIn counter; // null: none
     final List<SeatServer> servers = new ArrayList<>();
-    final HollowGateway[] gateways;
+    final FleetGateway[] gateways;
     final Front front;
     private final Clients clients;
     private final Meter meter;
@@ -43,7 +43,8 @@
     private int gatewaysStarted;
     private long endedNanos;
 
-    Fleet(HollowOptions options) {
+    /** With some gateways that are not hollow, which whoever makes it puts into the first places, and some hollow. */
+    Fleet(HollowOptions options, int real, int hollow) {
         this.options = options;
         customers = new Customers(options);
         figures = new Figures(options);
@@ -51,11 +52,10 @@
         zones = new Zones(options.zones, options.regions, options.nearMs, options.regionMs);
         discovery = new DiscoveryStandIn(queue, options);
         counter = options.counterRate <= 0 ? null : new CounterStandIn(queue, options.counterRate,
-                options.counterParts, options.counterMs, options.counterTimeoutMs,
-                options.counterLine * options.counterTimeoutMs);
+                options.counterParts, options.counterMs, options.counterLine * options.counterTimeoutMs);
         meter = new Meter(customers, options.meterPeriodMs, options.meterLateMs);
         clients = new Clients(queue, options, customers, this::arrive);
-        gateways = new HollowGateway[options.gateways];
+        gateways = new FleetGateway[options.gateways];
         front = new Front(this);
         for (int i = 0; i < options.classes; i++) {
             classes.add(new RequestClass("c" + i, i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE, Scope.ALL,
@@ -64,7 +64,7 @@
         for (int i = 0; i < options.servers; i++) {
             discovery.list(addServer(zones.ofNumber(i), rack(i), 0).listed());
         }
-        for (int g = 0; g < gateways.length; g++) {
+        for (int g = real; g < real + hollow; g++) {
             int number = g; // none in step with another: their beats would meet at the counter
             double at = Chance.between(0, HollowOptions.START_MS, Chance.mixed(options.seed, number), -1);
             queue.at(at, () -> startGateway(number));
@@ -93,7 +93,7 @@
         return gateway;
     }
 
-    private Settings settings(int number, String zone) {
+    Settings settings(int number, String zone) {
         List<Plan> plans = customers.plans();
         boolean metered = options.meterLateMs > 0;
         return new Settings(Chance.mixed(options.seed, number), number, options.gateways, zone, false,
@@ -111,6 +111,9 @@
     // ---- clients and gateways
 
     private void arrive(Try t) {
+        if (gateways[t.gateway] == null) {
+            return; // no part of this run, nor are its clients
+        }
         figures.came(t);
         if (t.earlier == 0) {
             quotas.offer(t);
@@ -140,7 +143,7 @@
     // ---- gateways and servers
 
     void attempt(Try.Attempt a) {
-        HollowGateway from = a.gateway;
+        FleetGateway from = a.gateway;
         SeatServer to = serversById.get(a.host);
         double now = queue.now();
         figures.sent(from.number, to, to.zone != from.zone, now);
@@ -152,7 +155,8 @@
         }
     }
 
-    private void reach(Try.Attempt a, SeatServer to, double way) {
+    /** An attempt comes whole to a server. */
+    void reach(Try.Attempt a, SeatServer to, double way) {
         if (to.state() == SeatServer.State.VANISHED) {
             return; // nothing comes back
         }
@@ -174,16 +178,17 @@
         });
     }
 
-    void call(HollowGateway from, String name, double amount, double lifeMs, ObjDoubleConsumer<Outcome> end) {
-        counter.call(name, amount, lifeMs, zones.reach(from.zone, SERVICES_ZONE), end);
+    void call(FleetGateway from, String name, double amount, double lifeMs, double timeoutMs,
+            ObjDoubleConsumer<Outcome> end) {
+        counter.call(name, amount, lifeMs, timeoutMs, zones.reach(from.zone, SERVICES_ZONE), end);
     }
 
     // ---- figures over all processes
 
     long busyNanos() {
         long sum = 0;
-        for (HollowGateway g : gateways) {
-            sum += g.alive() ? g.busyNanos() : 0;
+        for (FleetGateway g : gateways) {
+            sum += g != null && g.alive() ? g.busyNanos() : 0;
         }
         return sum + endedNanos;
     }
--- a/src/main/java/deckfall/scale/HollowGateway.java
+++ b/src/main/java/deckfall/scale/HollowGateway.java
@@ -19,7 +19,7 @@
  * has returned, so that its processor time is its own. It keeps what the program round the module promises: attempts
  * end at a request's deadline, and a late answer to a counter call is not told.
  */
-final class HollowGateway implements Actions {
+final class HollowGateway extends FleetGateway implements Actions {
     private static final int MOST_CALLS_OUT = 256; // of the program's connection to the counter
     private static final double STUCK_MS = 5000; // after which that connection is given up
     private static final double[] NO_REPORT = new double[0];
@@ -28,8 +28,6 @@
 
     private record Count(String name, double amount, double lifeMs) { }
 
-    final int number;
-    final int zone;
     private final Fleet fleet;
     private final Settings settings;
     private final Events module = new Brain(this);
@@ -42,10 +40,9 @@
     private long busyNanos;
 
     HollowGateway(Fleet fleet, Settings settings, int number, int zone) {
+        super(number, zone);
         this.fleet = fleet;
         this.settings = settings;
-        this.number = number;
-        this.zone = zone;
     }
 
     void start() {
@@ -56,10 +53,12 @@
         return fleet.queue.now();
     }
 
+    @Override
     boolean alive() {
         return alive;
     }
 
+    @Override
     long busyNanos() {
         return busyNanos;
     }
@@ -100,6 +99,7 @@
         tell(Event.OTHER, null, () -> module.hosts(now(), kind, hosts));
     }
 
+    @Override
     void request(Try t) {
         open.put(t.id, t);
         undecided++;
@@ -123,6 +123,7 @@
         }
     }
 
+    @Override
     void ended(Try.Attempt a, Outcome outcome, int usedPct) {
         if (a.ended || !alive) {
             return;
@@ -153,6 +154,7 @@
     }
 
     /** Its process ends: clients see their connections reset. */
+    @Override
     void die() {
         if (!alive) {
             return;
@@ -253,7 +255,7 @@
             return;
         }
         callsOut++;
-        fleet.call(this, c.name, c.amount, c.lifeMs, (outcome, total) -> {
+        fleet.call(this, c.name, c.amount, c.lifeMs, fleet.options.counterTimeoutMs, (outcome, total) -> {
             fleet.queue.after(outcome == Outcome.TIMEOUT ? STUCK_MS : 0, () -> callsOut--);
             counted(c.name, outcome, total);
         });
--- a/src/main/java/deckfall/scale/HollowOptions.java
+++ b/src/main/java/deckfall/scale/HollowOptions.java
@@ -15,7 +15,7 @@
 /** The arguments of a run of hollow gateways; each is checked before anything is built. */
 @Command(name = "hollow", description = "The decision module of a whole fleet on one clock, against stand-ins.",
         sortOptions = false, mixinStandardHelpOptions = true)
-final class HollowOptions implements Callable<Integer> {
+class HollowOptions implements Callable<Integer> {
     static final double START_MS = 1000; // in which the gateways start, each at a moment of its own
     private static final double USED = 0.5; // of the servers' slots, where these are not given
     private static final int MOST_GATEWAYS = 10_000;
@@ -109,10 +109,11 @@
     public Integer call() {
         check();
         HollowRun run = new HollowRun(this, System.err);
-        return new Report(this, run.play()).write(System.out);
+        HollowRun.Result result = run.play();
+        return new Report(this, "hollow", result.fleet(), result.costs()).write(System.out);
     }
 
-    private void check() {
+    void check() {
         within("--gateways", gateways, 1, MOST_GATEWAYS);
         within("--servers", servers, 1, MOST_SERVERS);
         within("--zones", zones, 1, Math.min(gateways, servers));
@@ -154,7 +155,7 @@
         }
     }
 
-    private void within(String name, double value, double least, double most) {
+    final void within(String name, double value, double least, double most) {
         if (!(value >= least && value <= most)) {
             throw bad(name + ": " + text(value) + " is not from " + text(least) + " to " + text(most));
         }
@@ -165,7 +166,7 @@
                 : Double.toString(value);
     }
 
-    ParameterException bad(String message) {
+    final ParameterException bad(String message) {
         return new ParameterException(spec.commandLine(), message);
     }
 
@@ -179,7 +180,12 @@
 
     /** Requests in work at a server. */
     int slots() {
-        return slots > 0 ? slots : (int) Math.ceil(requestsPerSecond * serviceMs / 1000 / servers / USED);
+        return slots > 0 ? slots : slotsFor(USED);
+    }
+
+    /** As many as leave such a share of them in use. */
+    final int slotsFor(double used) {
+        return (int) Math.ceil(requestsPerSecond * serviceMs / 1000 / servers / used);
     }
 
     /** Each argument with its value. */
--- a/src/main/java/deckfall/scale/HollowRun.java
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -3,19 +3,19 @@
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /** Plays a run: load to warm up, the measured time, the answers still due, and a while without load. */
 final class HollowRun {
     private static final double STEP_MS = 100; // of the clock, between looks at the progress
     private static final double SETTLE_MS = 2000; // after the last deadline, before the time without load
+    private static final double MEGABYTE = 1 << 20;
     private static final long PROGRESS_NANOS = 5_000_000_000L;
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    /** Times and memory of the machine that the run was on: informational, they differ from run to run. */
-    record Costs(double loadedCores, double idleCores, double seconds, long memoryBytes) { }
-
-    /** What came of a run. */
-    record Result(Fleet fleet, Costs costs) { }
+    /** What came of a run; the costs are those of the machine that it was on and differ from run to run. */
+    record Result(Fleet fleet, Map<String, Object> costs) { }
 
     private final HollowOptions options;
     private final PrintStream progress;
@@ -29,7 +29,7 @@
     }
 
     Result play() {
-        fleet = new Fleet(options);
+        fleet = new Fleet(options, 0, options.gateways);
         runTo(HollowOptions.START_MS);
         fleet.startClients(options.endMs());
         new FaultSchedule(fleet).place(options.faults, options.warmUpMs());
@@ -38,7 +38,17 @@
         runTo(options.endMs() + options.deadlineMs + SETTLE_MS);
         double idle = coresUntil(fleet.queue.now() + 1000 * options.idleSeconds);
         double seconds = (System.nanoTime() - startedNanos) / 1e9;
-        return new Result(fleet, new Costs(loaded, idle, seconds, memory()));
+        return new Result(fleet, costs(loaded, idle, seconds, memory() / MEGABYTE));
+    }
+
+    private Map<String, Object> costs(double loaded, double idle, double seconds, double megabytes) {
+        Map<String, Object> costs = new LinkedHashMap<>();
+        costs.put("cpu_loaded_share_of_core", Report.rounded(loaded));
+        costs.put("cpu_idle_share_of_core", Report.rounded(idle));
+        costs.put("run_seconds", Report.rounded(seconds));
+        costs.put("memory_mb", Report.rounded(megabytes));
+        costs.put("memory_mb_per_gateway", Report.rounded(megabytes / options.gateways));
+        return costs;
     }
 
     /**
--- /dev/null
+++ b/src/main/java/deckfall/scale/HttpPool.java
@@ -0,0 +1,91 @@
+package deckfall.scale;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+
+/** A client's connections to one address: one request at a time on each, and more where all are busy. */
+final class HttpPool {
+    private static final int MOST_BODY = 1 << 20;
+
+    private final EventLoopGroup group;
+    private final InetSocketAddress address;
+    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
+    HttpPool(EventLoopGroup group, InetSocketAddress address) {
+        this.group = group;
+        this.address = address;
+    }
+
+    /** Tells the answer, which is released afterwards, or null where none came. */
+    void send(FullHttpRequest request, Consumer<FullHttpResponse> end) {
+        Connection free = idle.pollLast();
+        if (free != null) {
+            free.send(request, end);
+            return;
+        }
+        Connection fresh = new Connection();
+        new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        fresh.channel = ch;
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), fresh);
+                    }
+                }).connect(address).addListener(f -> {
+                    if (f.isSuccess()) {
+                        fresh.send(request, end);
+                    } else {
+                        request.release();
+                        end.accept(null);
+                    }
+                });
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private Consumer<FullHttpResponse> waiting;
+
+        void send(FullHttpRequest request, Consumer<FullHttpResponse> end) {
+            waiting = end;
+            channel.writeAndFlush(request, channel.voidPromise());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Consumer<FullHttpResponse> end = waiting;
+            waiting = null;
+            idle.addLast(this);
+            if (end != null) {
+                end.accept(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            idle.remove(this);
+            if (waiting != null) {
+                waiting.accept(null);
+                waiting = null;
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/Listeners.java
@@ -0,0 +1,38 @@
+package deckfall.scale;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Opens the stand-ins' listeners, on loopback and on ports that the system chooses. */
+final class Listeners {
+    private static final int WAITING = 256; // connections not taken up yet
+
+    private Listeners() { }
+
+    /** The address; called from outside the thread of the sockets. */
+    static InetSocketAddress open(EventLoopGroup group, Supplier<ChannelHandler[]> handlers) {
+        Channel listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, WAITING)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(handlers.get());
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ':' + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/deckfall/scale/RealOptions.java
@@ -0,0 +1,107 @@
+package deckfall.scale;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The arguments of a run with real processes: those of a hollow one, and what concerns the processes. */
+@Command(name = "real", description = "A few real gateways beside hollow ones, against the same stand-ins on sockets.",
+        sortOptions = false, mixinStandardHelpOptions = true)
+final class RealOptions extends HollowOptions {
+    private static final double USED = 0.05; // of the slots
+    private static final int MOST_PROCESSES = 200;
+    private static final double MEGABYTES_EACH = 160;
+    private static final double MEGABYTES_ASIDE = 1024; // of the run itself
+    private static final int MOST_SECONDS = 3600;
+    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"\\s*(?:#.*)?$");
+
+    @Option(names = "--processes", defaultValue = "2", description = "of the gateways, real ones (${DEFAULT-VALUE})")
+    int processes;
+    @Option(names = "--hollow", defaultValue = "-1",
+            description = "gateways that run hollow beside them; the rest is left out with its clients (-1: all)")
+    private int hollow;
+    @Option(names = "--settle-seconds", defaultValue = "4",
+            description = "after all are ready: their compilers are done (${DEFAULT-VALUE})")
+    double settleSeconds;
+    @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", paramLabel = "FILE",
+            description = "says how one is started, from its folder's parent (${DEFAULT-VALUE})")
+    Path deploy;
+    @Option(names = "--run", paramLabel = "COMMAND", description = "starts one, in place of the file's")
+    String run;
+
+    @Override
+    public Integer call() {
+        check();
+        return new RealRun(this, System.err).play(System.out);
+    }
+
+    @Override
+    void check() {
+        super.check();
+        within("--processes", processes, 1, Math.min(MOST_PROCESSES, gateways));
+        within("--seconds", seconds + warmUpSeconds + idleSeconds, 1, MOST_SECONDS);
+        within("--hollow", hollow, -1, gateways - processes);
+        within("--settle-seconds", settleSeconds, 0, MOST_SECONDS);
+        double half = totalMegabytes() / 2;
+        if (processes * MEGABYTES_EACH + MEGABYTES_ASIDE > half) {
+            throw bad("--processes: " + processes + " may need more than half of this machine's memory");
+        }
+        if (!faults.isEmpty()) {
+            throw bad("--fault: only in a hollow run");
+        }
+        if (counterRate <= 0) {
+            throw bad("--counter-rate: a real gateway needs a counter");
+        }
+        if (run == null) {
+            run = deployed();
+        }
+    }
+
+    private static double totalMegabytes() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof com.sun.management.OperatingSystemMXBean system
+                ? system.getTotalMemorySize() / (double) (1 << 20) : Double.MAX_VALUE;
+    }
+
+    private String deployed() {
+        try {
+            Matcher m = RUN.matcher(Files.readString(deploy));
+            if (m.find()) {
+                return m.group(1).replaceAll("\\\\(.)", "$1");
+            }
+            throw bad("--deploy: '" + deploy + "' names no run");
+        } catch (IOException e) {
+            throw bad("--deploy: can't read '" + deploy + "'");
+        }
+    }
+
+    Path root() {
+        Path folder = deploy.toAbsolutePath().getParent();
+        return run != null && !Files.exists(deploy) || folder.getParent() == null ? Path.of("").toAbsolutePath()
+                : folder.getParent();
+    }
+
+    int hollow() {
+        return hollow < 0 ? gateways - processes : hollow;
+    }
+
+    /** A line at a server would show as time added: there is to be none. */
+    @Override
+    int slots() {
+        return slots > 0 ? slots : slotsFor(USED);
+    }
+
+    /** The time without load comes first here, while the processes are fresh. */
+    @Override
+    double warmUpMs() {
+        return loadMs() + 1000 * warmUpSeconds;
+    }
+
+    double loadMs() {
+        return START_MS + 1000 * idleSeconds;
+    }
+}
--- a/src/main/java/deckfall/scale/Report.java
+++ b/src/main/java/deckfall/scale/Report.java
@@ -17,33 +17,29 @@
  */
 final class Report {
     private static final int FAILED = 1;
-    private static final double MEGABYTE = 1 << 20;
 
     private final HollowOptions options;
-    private final HollowRun.Result result;
+    private final String run;
+    private final Fleet fleet;
     private final Map<String, Object> figures = new LinkedHashMap<>();
-    private final Map<String, Object> costs = new LinkedHashMap<>();
+    private final Map<String, Object> costs;
 
-    Report(HollowOptions options, HollowRun.Result result) {
+    Report(HollowOptions options, String run, Fleet fleet, Map<String, Object> costs) {
         this.options = options;
-        this.result = result;
+        this.run = run;
+        this.fleet = fleet;
+        this.costs = costs;
         tries();
         quotas();
         counter();
         hosts();
-        HollowRun.Costs c = result.costs();
-        costs.put("cpu_loaded_share_of_core", rounded(c.loadedCores()));
-        costs.put("cpu_idle_share_of_core", rounded(c.idleCores()));
-        costs.put("run_seconds", rounded(c.seconds()));
-        costs.put("memory_mb", rounded(c.memoryBytes() / MEGABYTE));
-        costs.put("memory_mb_per_gateway", rounded(c.memoryBytes() / MEGABYTE / options.gateways));
     }
 
     Map<String, Object> figures() {
         return figures;
     }
 
-    private static double rounded(double value) {
+    static double rounded(double value) {
         return value == 0 || !Double.isFinite(value) ? 0
                 : new java.math.BigDecimal(value).round(new java.math.MathContext(5)).doubleValue();
     }
@@ -54,7 +50,7 @@
     }
 
     private void tries() {
-        Figures f = result.fleet().figures;
+        Figures f = fleet.figures;
         put("tries_all", f.allTries);
         put("answers_all", f.allEnds);
         put("tries", f.tries);
@@ -71,8 +67,8 @@
     }
 
     private void quotas() {
-        Figures f = result.fleet().figures;
-        Quotas q = result.fleet().quotas;
+        Figures f = fleet.figures;
+        Quotas q = fleet.quotas;
         put("refused_with_room", q.refusedWithRoom());
         put("refused_with_room_share", share(q.refusedWithRoom(), f.tries));
         put("units_sent", q.unitsSent());
@@ -88,7 +84,7 @@
     }
 
     private void counter() {
-        Figures f = result.fleet().figures;
+        Figures f = fleet.figures;
         put("calls", f.allCalls());
         put("calls_per_second_mean", f.allCalls() / options.seconds);
         put("calls_per_second_max", f.seconds.most(Seconds.Sum.CALLS));
@@ -101,20 +97,20 @@
         put("calls_busy", f.callEnds.getOrDefault(Outcome.FULL, 0L));
         put("calls_timeout", f.callEnds.getOrDefault(Outcome.TIMEOUT, 0L));
         put("calls_refused", f.callEnds.getOrDefault(Outcome.CONNECT_FAILED, 0L));
-        CounterStandIn counter = result.fleet().counter;
+        CounterStandIn counter = fleet.counter;
         put("counter_served_all", counter == null ? 0 : counter.served());
         put("counter_served_in_second_max", counter == null ? 0 : counter.mostServedInSecond());
         put("counter_names_at_end", counter == null ? 0 : counter.names());
     }
 
     private void hosts() {
-        Figures f = result.fleet().figures;
+        Figures f = fleet.figures;
         put("hosts_used_per_gateway", f.hostsUsed());
         put("hosts_used_before_change", f.hostsUsedBefore());
         put("hosts_newly_used_per_gateway", f.hostsNewlyUsed());
         put("attempts_outside_zone_share", share(f.attemptsElsewhere, f.attempts));
-        put("gateways_started", result.fleet().gatewaysStarted());
-        put("lists_told", result.fleet().discovery.told());
+        put("gateways_started", fleet.gatewaysStarted());
+        put("lists_told", fleet.discovery.told());
     }
 
     private static double share(double part, double whole) {
@@ -123,7 +119,7 @@
 
     /** The exit code. */
     int write(PrintStream out) {
-        table(out, "figures, by the seed alone", figures);
+        table(out, run.equals("hollow") ? "figures, by the seed alone" : "figures of the fleet", figures);
         table(out, "costs, of this machine", costs);
         return options.json == null ? 0 : append();
     }
@@ -137,10 +133,10 @@
         Map<String, Object> line = new LinkedHashMap<>();
         Map<String, Object> arguments = options.arguments();
         arguments.remove("json");
-        line.put("run", "hollow");
+        line.put("run", run);
         line.put("arguments", arguments);
         line.put("figures", figures);
-        line.put("per_second", result.fleet().figures.seconds.all());
+        line.put("per_second", fleet.figures.seconds.all());
         line.put("costs", costs);
         try {
             String text = new ObjectMapper().writeValueAsString(line) + '\n';
--- a/src/main/java/deckfall/scale/Scale.java
+++ b/src/main/java/deckfall/scale/Scale.java
@@ -11,8 +11,8 @@
  * The command line of {@code scale}: what the decision module costs and does at a fleet's size. A bad argument gets
  * one plain line and the exit code 2, a run that fails 1.
  */
-@Command(name = "scale", description = "Runs of the gateways at a fleet's size.", subcommands = HollowOptions.class,
-        mixinStandardHelpOptions = true)
+@Command(name = "scale", description = "Runs of the gateways at a fleet's size.", mixinStandardHelpOptions = true,
+        subcommands = {HollowOptions.class, RealOptions.class})
 public final class Scale implements Runnable {
     private static final int USAGE = 2;
 
@@ -23,7 +23,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "say which run: hollow");
+        throw new ParameterException(spec.commandLine(), "say which run: hollow or real");
     }
 
     /** The exit code. */
--- a/src/main/java/deckfall/scale/Try.java
+++ b/src/main/java/deckfall/scale/Try.java
@@ -48,14 +48,14 @@
 
     /** A copy of it at one seat server. */
     static final class Attempt {
-        final HollowGateway gateway;
+        final FleetGateway gateway;
         final Try of;
         final int number;
         final String host;
         final double sentAt;
         boolean ended;
 
-        Attempt(HollowGateway gateway, Try of, String host, double sentAt) {
+        Attempt(FleetGateway gateway, Try of, String host, double sentAt) {
             this.gateway = gateway;
             this.of = of;
             this.number = of.attempts.size();
--- a/src/test/java/deckfall/scale/HollowRunTest.java
+++ b/src/test/java/deckfall/scale/HollowRunTest.java
@@ -33,7 +33,7 @@
         HollowOptions options = new HollowOptions();
         new CommandLine(options).setOverwrittenOptionsAllowed(true).parseArgs(arguments.toArray(new String[0]));
         PrintStream nowhere = new PrintStream(OutputStream.nullOutputStream());
-        return new Report(options, new HollowRun(options, nowhere).play()).figures();
+        return new Report(options, "hollow", new HollowRun(options, nowhere).play().fleet(), Map.of()).figures();
     }
 
     private static long count(Map<String, Object> figures, String name) {
--- /dev/null
+++ b/src/test/java/deckfall/scale/RealRunTest.java
@@ -0,0 +1,71 @@
+package deckfall.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/** One real process among a few hollow gateways, for a moment: what is counted, never how long it took. */
+class RealRunTest {
+    private static final String START = Path.of(System.getProperty("java.home"), "bin", "java")
+            + " -XX:+UseSerialGC -cp '" + System.getProperty("java.class.path") + "' deckfall.Main serve";
+
+    private static RealOptions options(String run) {
+        RealOptions options = new RealOptions();
+        new CommandLine(options).parseArgs("--processes", "1", "--gateways", "3", "--servers", "8", "--zones", "2",
+                "--tenants", "60", "--rps", "150", "--seconds", "2", "--warm-up-seconds", "1", "--idle-seconds", "1",
+                "--settle-seconds", "0", "--service-ms", "5", "--run", run);
+        options.check();
+        return options;
+    }
+
+    private static RealRun run(String command) {
+        return new RealRun(options(command), new PrintStream(OutputStream.nullOutputStream()));
+    }
+
+    @Test
+    void aRealProcessServesAmongHollowOnesAndEnds() throws Exception {
+        RealRun run = run("exec " + START);
+        Fleet fleet = run.measure();
+        Map<String, Object> costs = run.costs();
+        assertTrue((Long) costs.get("real_served") > 0, costs.toString());
+        assertEquals(costs.get("real_served"), costs.get("real_pairs"));
+        assertEquals(0L, costs.get("real_failed"));
+        assertEquals(fleet.figures.allTries, fleet.figures.allEnds);
+        assertTrue((Double) costs.get("real_loaded_control_messages_per_second_max") > 0, costs.toString());
+        assertEquals(1L, costs.get("real_ended_in_order"));
+        assertEquals(0L, costs.get("real_left_running"));
+    }
+
+    /** What started it may live on after a signal that it does not hear: nothing of it is left all the same. */
+    @Test
+    void aProcessThatDoesNotEndIsEnded(@TempDir Path dir) throws Exception {
+        Path pid = dir.resolve("pid");
+        RealRun run = run("trap '' TERM; " + START + " & echo $! > '" + pid + "'; while :; do wait; done");
+        run.measure();
+        assertEquals(0L, run.costs().get("real_ended_in_order"));
+        assertEquals(0L, run.costs().get("real_left_running"));
+        long started = Long.parseLong(Files.readString(pid).trim());
+        boolean left = ProcessHandle.of(started).map(ProcessHandle::isAlive).orElse(false);
+        ProcessHandle.of(started).ifPresent(ProcessHandle::destroyForcibly);
+        assertFalse(left);
+    }
+
+    /** The run fails with what the process said last, and leaves nothing behind. */
+    @Test
+    void aProcessThatCannotStartFailsTheRun() {
+        RealRun run = run("echo no such gateway >&2; exit 3");
+        Exception failed = assertThrows(IOException.class, run::measure);
+        assertTrue(failed.getMessage().endsWith("no such gateway"), failed.getMessage());
+    }
+}
