--- /dev/null
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -0,0 +1,210 @@
+package deckfall.scale;
+
+import deckfall.Gateway.Effect;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Plan;
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Rules;
+import deckfall.Gateway.Scope;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ObjDoubleConsumer;
+
+/** All gateways, servers and services of a run, and what passes between them. */
+final class Fleet {
+    private static final int MOST_ATTEMPTS = 3;
+    private static final double CONNECT_MS = 250;
+    private static final int ONCE_EVERY = 3; // of the classes, one that may not be repeated
+    private static final double MOST_RETRY_AFTER_MS = 500;
+    static final int SERVICES_ZONE = 0; // where discovery and the counter stand
+    private static final int RACK = 20; // servers of one zone
+
+    final EventQueue queue = new EventQueue();
+    final HollowOptions options;
+    final Customers customers;
+    final Quotas quotas;
+    final Figures figures;
+    final Zones zones;
+    final DiscoveryStandIn discovery;
+    final CounterStandIn counter; // null: none
+    final List<SeatServer> servers = new ArrayList<>();
+    final FleetGateway[] gateways;
+    final Front front;
+    private final Clients clients;
+    private final Meter meter;
+    private final Map<String, SeatServer> serversById = new HashMap<>(); // for look-ups alone
+    private final List<RequestClass> classes = new ArrayList<>();
+    private int gatewaysStarted;
+    private long endedNanos;
+
+    /** With some gateways that are not hollow, which whoever makes it puts into the first places, and some hollow. */
+    Fleet(HollowOptions options, int real, int hollow) {
+        this.options = options;
+        customers = new Customers(options);
+        figures = new Figures(options);
+        quotas = new Quotas(customers, figures.seconds);
+        zones = new Zones(options.zones, options.regions, options.nearMs, options.regionMs);
+        discovery = new DiscoveryStandIn(queue, options);
+        counter = options.counterRate <= 0 ? null : new CounterStandIn(queue, options.counterRate,
+                options.counterParts, options.counterMs, options.counterLine * options.counterTimeoutMs);
+        meter = new Meter(customers, options.meterPeriodMs, options.meterLateMs);
+        clients = new Clients(queue, options, customers, this::arrive);
+        gateways = new FleetGateway[options.gateways];
+        front = new Front(this);
+        for (int i = 0; i < options.classes; i++) {
+            classes.add(new RequestClass("c" + i, i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE, Scope.ALL,
+                    0, options.goalMs, options.deadlineMs, 1, 0, false));
+        }
+        for (int i = 0; i < options.servers; i++) {
+            discovery.list(addServer(zones.ofNumber(i), rack(i), 0).listed());
+        }
+        for (int g = real; g < real + hollow; g++) {
+            int number = g; // none in step with another: their beats would meet at the counter
+            double at = Chance.between(0, HollowOptions.START_MS, Chance.mixed(options.seed, number), -1);
+            queue.at(at, () -> startGateway(number));
+        }
+    }
+
+    private int rack(int server) {
+        return server / (options.zones * RACK) * options.zones + zones.ofNumber(server);
+    }
+
+    SeatServer addServer(int zone, int cell, double startedMs) {
+        SeatServer s = new SeatServer(queue, options, servers.size(), zone, cell, startedMs);
+        servers.add(s);
+        serversById.put(s.id, s);
+        return s;
+    }
+
+    /** A new process of a gateway, to which new tries go. */
+    HollowGateway startGateway(int number) {
+        int zone = zones.ofNumber(number);
+        HollowGateway gateway = new HollowGateway(this, settings(number, Zones.name(zone)), number, zone);
+        gateways[number] = gateway;
+        gatewaysStarted++;
+        gateway.start();
+        discovery.watch(number, gateway::hosts);
+        return gateway;
+    }
+
+    Settings settings(int number, String zone) {
+        List<Plan> plans = customers.plans();
+        boolean metered = options.meterLateMs > 0;
+        return new Settings(Chance.mixed(options.seed, number), number, options.gateways, zone, false,
+                List.copyOf(classes), plans, List.of(),
+                new Limits(MOST_ATTEMPTS, false, true, false, false, true, MOST_RETRY_AFTER_MS, CONNECT_MS),
+                new Rules(8, 500, 2, 1000, options.coldFrom, options.warmMs, 0),
+                new Sharing(counter != null, 0.01, metered ? options.meterPeriodMs : 0, false, options.maxUnits, 0,
+                        0, 0, 0));
+    }
+
+    void startClients(double until) {
+        clients.start(until);
+    }
+
+    // ---- clients and gateways
+
+    private void arrive(Try t) {
+        if (gateways[t.gateway] == null) {
+            return; // no part of this run, nor are its clients
+        }
+        figures.came(t);
+        if (t.earlier == 0) {
+            quotas.offer(t);
+        }
+        t.gateway = front.gatewayFor(t);
+        if (gateways[t.gateway].alive()) {
+            gateways[t.gateway].request(t);
+        } else {
+            ended(t, Figures.End.NO_GATEWAY, 0);
+        }
+    }
+
+    /** A try has its final answer. */
+    void ended(Try t, Figures.End end, double retryAfterMs) {
+        figures.ended(t, end, queue.now());
+        if (end == Figures.End.REFUSED) {
+            figures.refusedAdvised += t.measured && retryAfterMs > 0 ? 1 : 0;
+            if (!t.left) {
+                quotas.refused(t, queue.now());
+            }
+        }
+        if (end == Figures.End.REFUSED || end == Figures.End.NO_GATEWAY) {
+            clients.again(t, retryAfterMs);
+        }
+    }
+
+    // ---- gateways and servers
+
+    void attempt(Try.Attempt a) {
+        FleetGateway from = a.gateway;
+        SeatServer to = serversById.get(a.host);
+        double now = queue.now();
+        figures.sent(from.number, to, to.zone != from.zone, now);
+        double way = zones.wayMs(from.zone, to.zone);
+        if (!zones.reach(from.zone, to.zone) || to.state() == SeatServer.State.VANISHED) {
+            queue.after(CONNECT_MS, () -> from.ended(a, Outcome.CONNECT_FAILED, 0));
+        } else {
+            queue.after(way, () -> reach(a, to, way));
+        }
+    }
+
+    /** An attempt comes whole to a server. */
+    void reach(Try.Attempt a, SeatServer to, double way) {
+        if (to.state() == SeatServer.State.VANISHED) {
+            return; // nothing comes back
+        }
+        if (to.state() == SeatServer.State.DEAD) {
+            queue.after(way, () -> a.gateway.ended(a, Outcome.CONNECT_FAILED, 0));
+            return;
+        }
+        if (!a.of.counted) {
+            a.of.counted = true;
+            quotas.take(a.of, queue.now());
+            meter.use(a.of.customer, a.of.units, queue.now());
+        }
+        to.take(a, outcome -> {
+            if (zones.reach(a.gateway.zone, to.zone)) {
+                boolean tells = outcome == Outcome.OK || outcome == Outcome.FULL;
+                int used = tells ? meter.told(a.of.customer, queue.now()) : 0;
+                queue.after(way, () -> a.gateway.ended(a, outcome, used));
+            }
+        });
+    }
+
+    void call(FleetGateway from, String name, double amount, double lifeMs, double timeoutMs,
+            ObjDoubleConsumer<Outcome> end) {
+        counter.call(name, amount, lifeMs, timeoutMs, zones.reach(from.zone, SERVICES_ZONE), end);
+    }
+
+    // ---- figures over all processes
+
+    long busyNanos() {
+        long sum = 0;
+        for (FleetGateway g : gateways) {
+            sum += g != null && g.alive() ? g.busyNanos() : 0;
+        }
+        return sum + endedNanos;
+    }
+
+    int gatewaysStarted() {
+        return gatewaysStarted;
+    }
+
+    void processEnded(HollowGateway gateway) {
+        endedNanos += gateway.busyNanos();
+    }
+
+    /** What discovery now tells of the servers. */
+    void changed(List<SeatServer> changed) {
+        List<Host> hosts = new ArrayList<>();
+        changed.forEach(s -> hosts.add(s.listed()));
+        discovery.change(hosts);
+    }
+}
