--- a/src/main/java/deckfall/scale/RealRun.java
+++ b/src/main/java/deckfall/scale/RealRun.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import deckfall.Gateway.Effect;
+import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Plan;
 import deckfall.Gateway.RequestClass;
 import deckfall.Gateway.Settings;
@@ -24,11 +25,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -106,7 +109,7 @@
         }
     }
 
-    private <T> T onLoop(java.util.concurrent.Callable<T> work) throws InterruptedException, ExecutionException {
+    private <T> T onLoop(Callable<T> work) throws InterruptedException, ExecutionException {
         return group.next().submit(work).get();
     }
 
@@ -125,7 +128,7 @@
                 return;
             }
         }
-        SeatListener.answer(from, deckfall.Gateway.Outcome.MOOT, 0);
+        SeatListener.answer(from, Outcome.MOOT, 0);
     }
 
     // ---- processes
@@ -302,9 +305,9 @@
         String[] names = {"cpu_share_of_core", "control_bytes_per_second", "control_messages_per_second"};
         for (int k = 0; k < names.length; k++) {
             costs.put("real_" + phase + "_" + names[k] + "_mean",
-                    Report.rounded(java.util.Arrays.stream(rates[k]).average().orElse(0)));
+                    Report.rounded(Arrays.stream(rates[k]).average().orElse(0)));
             costs.put("real_" + phase + "_" + names[k] + "_max",
-                    Report.rounded(java.util.Arrays.stream(rates[k]).max().orElse(0)));
+                    Report.rounded(Arrays.stream(rates[k]).max().orElse(0)));
         }
     }
 
--- a/src/main/java/deckfall/scale/SeatListener.java
+++ b/src/main/java/deckfall/scale/SeatListener.java
@@ -1,5 +1,6 @@
 package deckfall.scale;
 
+import deckfall.Gateway.Outcome;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import deckfall.Gateway.Outcome;
 import java.nio.charset.StandardCharsets;
 
 /** A seat server's address: requests of real gateways, and those that the run makes itself beside them. */
