Give a counter without a charge a price that can rise

Found by reading: the price of a call grows by a factor from what the deployment charges for one. Where that is nothing it stayed at nothing: every wish was drawn, and only the bound on the rate chose, by turn and not by worth.

Change: the least price is the charge or a thousandth of the mean worth (CallBudget.leastPrice). CallBudgetTest now plays a counter without a charge; without the mend 49 calls a second of 100 that are borne, and after a silence 47 of 500.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -355,7 +355,7 @@
         c.demand += units / DEMAND_MS * 1000;
         Plan p = c.plan;
         meanWorth += WORTH_GAIN * (ask.cls.spec.worth() - meanWorth);
-        budget.leastPrice(set.sharing().counterPrice() * meanWorth);
+        budget.leastPrice(set.sharing().counterPrice(), meanWorth);
         boolean limited = p.rate() > 0 && !excessPays(p);
         boolean full = !excessPays(p) && !openAdmits(now, c);
         if (full || limited && c.level < units) {
--- a/src/main/java/deckfall/CallBudget.java
+++ b/src/main/java/deckfall/CallBudget.java
@@ -20,6 +20,7 @@
     private static final int STEADY = 3; // answers in time after which the counter bears the rate
     private static final double PRICE_STEP = 0.5; // growth with a call
     private static final double START_PRICE = 50; // calls' own prices
+    private static final double TRIFLE = 0.001; // of the mean worth: a price of nothing could never rise
     private static final double HOARD_MS = 500; // time's worth of calls that may be made at once
     private static final double GRANTED_GAIN = 0.05; // weight of one wish in the share that is granted
 
@@ -43,10 +44,11 @@
         this.calledAt = this.pricedAt = this.answeredAt = now;
     }
 
-    /** No call is worth less than what the deployment charges for one. */
-    void leastPrice(double worth) {
-        if (least == 0) price = START_PRICE * worth;
-        least = worth;
+    /** No call may save less than what the deployment charges for one, or else a trifle. */
+    void leastPrice(double charge, double meanWorth) {
+        double lowest = Math.max(charge, TRIFLE) * meanWorth;
+        if (least == 0) price = START_PRICE * lowest;
+        least = lowest;
     }
 
     double price(double now) {
--- a/src/test/java/deckfall/CallBudgetTest.java
+++ b/src/test/java/deckfall/CallBudgetTest.java
@@ -12,7 +12,6 @@
     private static final double TIMEOUT_MS = 80;
     private static final double STEP_MS = 10;
     private static final int WISHES = 5; // a second, at each gateway
-    private static final double LEAST_PRICE = 0.001;
 
     private final Random random = new Random(3);
     private double now;
@@ -24,7 +23,7 @@
         for (double end = now + seconds * 1000; now < end; now += STEP_MS) {
             queue = Math.max(0, queue - borne * STEP_MS / 1000);
             for (CallBudget b : fleet) {
-                b.leastPrice(LEAST_PRICE);
+                b.leastPrice(0, 1);
                 if (random.nextDouble() >= STEP_MS * WISHES / 1000) continue;
                 int which = random.nextInt(2);
                 boolean drawn = random.nextDouble() < (which == 0 ? little : much) / b.price(now);
