Forget what is owed to the counter with the customer that owes it

Before a counter that turns calls away a flood of customers seen once would be kept without bound, and called for long after: the store's bound was the old mute's unconditional calls.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1201,6 +1201,7 @@
     private void sweep(double now) {
         if (now - sweptAt < SWEEP_MS) return;
         sweptAt = now;
+        uncounted.removeIf(c -> now - c.touchedAt > FORGET_MS);
         customers.values().removeIf(c -> now - c.touchedAt > FORGET_MS && c.open == 0 && c.pending.isEmpty());
         servers.values().removeIf(s -> !s.listed && s.out.isEmpty());
     }
--- a/src/test/java/deckfall/CounterTest.java
+++ b/src/test/java/deckfall/CounterTest.java
@@ -81,6 +81,10 @@
         assertEquals(List.of("q" + (serial - 1)), g.refused);
         assertEquals(List.of(Refusal.PART), g.refusals);
         g.counted.clear();
+        ask();
+        g.counted.forEach(c -> g.brain.counted(g.now, c.counter(), Outcome.TIMEOUT, 0));
+        assertEquals(2, g.refused.size());
+        g.counted.clear();
         int[] calls = new int[2];
         for (int i = 0; i < 400; i++) {
             ask();
@@ -88,10 +92,35 @@
             calls[i / 200] += g.counted.size();
             List.copyOf(g.counted).forEach(c -> g.brain.counted(g.now, c.counter(), Outcome.TIMEOUT, 0));
             g.counted.clear();
+            assertEquals(serial, g.sent.size() + g.refused.size()); // nothing is held for it
         }
         assertTrue(calls[0] > calls[1] && calls[1] <= 10, calls[0] + " calls in 10 s, then " + calls[1]);
     }
 
+    /** A flood of customers that come once must not be called for, nor kept, long after they have gone. */
+    @Test
+    void whoHasBeenForgottenIsNotCalledFor() {
+        for (int i = 0; i < 200; i++) {
+            String id = "q" + serial++;
+            g.ask(id, "read", "slow", 1000 + i, 1, GATEWAYS);
+            g.end(id, 0, Outcome.OK, 10);
+        }
+        assertTrue(callsTurnedAway(20) > 0);
+        callsTurnedAway(60); // forgotten after a minute, at the next sweep
+        assertEquals(0, callsTurnedAway(400));
+    }
+
+    private int callsTurnedAway(int seconds) {
+        int calls = 0;
+        for (int i = 0; i < seconds * 10; i++) {
+            g.pass(100);
+            calls += g.counted.size();
+            List.copyOf(g.counted).forEach(c -> g.brain.counted(g.now, c.counter(), Outcome.FULL, 0));
+            g.counted.clear();
+        }
+        return calls;
+    }
+
     /** Before any figure others are taken to use as much as is usual; by a figure of none the store is free. */
     @Test
     void whatTheMeterLeavesIsLetInWithoutACounter() {
