Let in by guess only what pays by a margin, and ask for no store just found empty

Where the counter bears under half a call a try, most use beyond quotas is let in on a guess about customers that the gateway has never seen.

Cause, by following one customer's units call by call (hollow run of the same size): (1) a guess was made wherever it paid in the mean, so a fleet of gateways let in whatever the plan's average allowed; (2) a fifth of the calls asked again for customers whose store had just been found empty, while 45% of the unknown ones were let in unasked; (3) a refused request left its units, and those of the requests that it stands for, in the count, so that the count of a heavy customer stood up to six units under a store that was full.

Change: a guess has to pay by a margin that rises while the expected cost of what is let in is over a bound, and falls else; without an answer of the counter for 3 s it is one, as before. No call follows a refusal by the counter as long as that tells of the store, now two bursts' times instead of four (a refusal is final for so long). What a refused call added is taken back whole. A customer let in unasked here a moment ago is judged apart from an unknown one. What was known of a request is learned under the same key as it was judged by.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -28,9 +28,13 @@
     private static final double WARY = 0.6; // of the rate: what others may use unseen beside their demand
     // Admission in a set so wide that no part holds a request
     private static final double OVERFULL = 1; // bursts beyond the store from which a count is put right
-    private static final double RECALL_BURSTS = 4; // bursts' times for which an answer tells of more
+    private static final double RECALL_BURSTS = 2; // bursts' times for which an answer tells of more
+    private static final double EXCESS_BOUND = 0.03; // of the worth let in, that excess is expected to cost
+    private static final double MARGIN_STEP = 1.05; // growth with a request let in above that bound
+    private static final double MARGIN_START = 4; // what a guess has to pay, in times of its expected cost
+    private static final double MARGIN_MAX = 5;
     private static final double CONCURRENT = 1.5; // units in a metered period that may be one gateway's own
-    private static final double GIVE_BACK = 0.1; // of a unit's worth, saved by the call that puts it right
+    private static final double GIVE_BACK = 0.3; // of a unit's worth, saved by the call that puts it right
     private static final double WORTH_GAIN = 0.02; // weight of one request in the mean worth
     // Keepers and tells
     private static final double RETRY_MIN_MS = TICK_MS; // shortest wait that a refusal tells
@@ -113,6 +117,9 @@
     private double startedAt, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private CallBudget budget;
     private Chances[] chances;
+    private final ExcessEstimate excess = new ExcessEstimate();
+    private double margin = MARGIN_START;
+    private double counterToldAt = State.NEVER;
     private double meanWorth;
     private double mail, donateGap = WEIGHT_GAP_MS;
     private boolean waited;
@@ -182,7 +189,7 @@
         ClassState cls = ask.cls;
         ask.admitted = true;
         Customer c = ask.customer;
-        if (c != null) c.open++;
+        if (c != null) c.begin(now);
         if (c != null) charge(now, c, ask.request.units(), ask.request.units());
         if (cls.queue.isEmpty()) cls.turn = Math.max(cls.turn, turn);
         cls.queue.addLast(ask);
@@ -356,13 +363,14 @@
         Plan p = c.plan;
         meanWorth += WORTH_GAIN * (ask.cls.spec.worth() - meanWorth);
         budget.leastPrice(set.sharing().counterPrice(), meanWorth);
-        boolean limited = p.rate() > 0 && !excessPays(p);
-        boolean full = !excessPays(p) && !openAdmits(now, c);
+        boolean limited = p.rate() > 0 && !p.excessPays();
+        boolean full = !p.excessPays() && !openAdmits(now, c);
         if (full || limited && c.level < units) {
             ask.refusal = full ? Refusal.OPEN : Refusal.QUOTA;
             if (now - c.toldAt > SYNC_MS) changed(now, c);
             return Verdict.OUT;
         }
+        if (limited) ask.known = known(now, ask);
         if (limited && wide(c)) return judgeWide(now, ask);
         boolean asks = set.limits().peers() && c.spread > 1;
         int keeper = keeper(now, c, 0);
@@ -372,7 +380,8 @@
                 || (asks || counts(c)) && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units;
         boolean ceiling = p.ceilingRate() <= 0 || c.ceiling >= units; // rule 5: own units need no peer
         if (room && ceiling) return Verdict.IN;
-        if (counts(c) && ceiling && draws(now, ask, chance(now, ask))) return Verdict.COUNT;
+        ask.wish = units;
+        if (counts(c) && ceiling && draws(now, ask, chance(ask))) return Verdict.COUNT;
         return asks ? Verdict.ASK : Verdict.OUT;
     }
 
@@ -386,17 +395,9 @@
         return partless(c) && c.plan.ceilingRate() <= 0 && (set.sharing().counter() || costly(c.plan));
     }
 
-    private static boolean excessPays(Plan p) {
-        return p.overWorth() > 0 && p.overWorth() >= p.overCost();
-    }
-
     private boolean costly(Plan p) {
-        double mean = set.plans().stream().mapToDouble(Brain::excessCost).average().orElse(0);
-        return excessCost(p) >= mean;
-    }
-
-    private static double excessCost(Plan p) {
-        return p.price() * (p.overCost() - p.overWorth());
+        double mean = set.plans().stream().mapToDouble(Plan::excessLoss).average().orElse(0);
+        return p.excessLoss() >= mean;
     }
 
     /**
@@ -407,10 +408,12 @@
         Customer c = ask.customer;
         double units = ask.request.units();
         if (!set.sharing().counter()) return c.tokens >= units || spares(c, units) ? Verdict.IN : Verdict.OUT;
-        double chance = chance(now, ask);
         boolean in = guess(now, ask);
-        if (!draws(now, ask, in ? wrong(c.plan, chance) : chance)) return in ? Verdict.IN : Verdict.OUT;
-        ask.wish = chance >= 0.5 ? units : 0; // otherwise it is added once it is let in
+        if (!in && c.told(now, recallMs(c.plan)) == Told.EMPTY) return Verdict.OUT; // asked a moment ago
+        boolean asks = draws(now, ask, in ? risk(now, ask) : chance(ask));
+        if (!asks && in) adaptMargin(ask, chance(ask));
+        if (!asks) return in ? Verdict.IN : Verdict.OUT;
+        ask.wish = chance(ask) >= 0.5 ? units : 0; // otherwise it is added once it is let in
         ask.others = in ? units * (1 / (ask.share * budget.granted()) - 1) : 0;
         return Verdict.COUNT;
     }
@@ -421,34 +424,44 @@
         return random.nextDouble() < ask.share && budget.grants(now);
     }
 
-    private double chance(double now, Ask ask) {
-        return chances[ask.customer.planNumber].of(known(now, ask));
+    private double chance(Ask ask) {
+        return chances[ask.customer.planNumber].of(ask.known);
     }
 
-    /** What letting in costs in the mean, in times of the worth. */
-    private static double wrong(Plan p, double chance) {
-        return (p.overCost() - p.overWorth()) * (1 - chance);
+    /** What a guess to let in may cost in the mean, in times of the worth; more by the margin. */
+    private double risk(double now, Ask ask) {
+        boolean controlled = now - counterToldAt < RELAX_MS;
+        return (controlled ? margin : 1) * ask.customer.plan.excessLossOfWorth() * (1 - chance(ask));
     }
 
     /** Whether it pays in the mean to let in what the counter is not asked about. */
     private boolean guess(double now, Ask ask) {
-        double chance = chance(now, ask);
-        return chance > wrong(ask.customer.plan, chance);
+        return chance(ask) > risk(now, ask);
+    }
+
+    /** Guesses have to pay the more, the longer what is let in is expected to cost over its bound. */
+    private void adaptMargin(Ask ask, double chance) {
+        excess.add(ask.worth() * chance, ask.worth() * (1 - chance) * ask.customer.plan.overCost());
+        double step = excess.share() > EXCESS_BOUND ? MARGIN_STEP : 1 / MARGIN_STEP;
+        margin = Math.max(1, Math.min(MARGIN_MAX, margin * step));
+    }
+
+    private static double recallMs(Plan p) {
+        return RECALL_BURSTS * 1000 * p.burst() / p.rate();
     }
 
     /** What is known of a request's customer without asking: what the counter and the meter told last. */
     private int known(double now, Ask ask) {
         Customer c = ask.customer;
-        double forMs = RECALL_BURSTS * 1000 * c.plan.burst() / c.plan.rate();
         double perPeriod = c.plan.rate() * set.sharing().meterPeriodMs() / 1000;
-        double metered = now - c.meterAt < forMs ? (c.usedPct - 1) / 100.0 * perPeriod : 0;
+        double metered = now - c.meterAt < recallMs(c.plan) ? (c.usedPct - 1) / 100.0 * perPeriod : 0;
         boolean hot = metered > Math.max(perPeriod, CONCURRENT * set.sharing().maxUnits());
-        return Chances.known(ask.request.retry(), hot, now - c.totalAt < forMs ? c.told : Told.NOTHING);
+        return Chances.known(ask.request.retry(), hot, c.told(now, recallMs(c.plan)));
     }
 
     /** What the others may have used since a keeper told, as far as it matters against the excess cost. */
     private double reserve(double now, Customer c) {
-        double cost = c.plan.overCost() - c.plan.overWorth();
+        double cost = c.plan.excessLossOfWorth();
         double rate = c.others + WARY * c.plan.rate();
         return rate * (now - c.newsAt + LAG_MS) / 1000 * 2 * cost / (1 + cost);
     }
@@ -538,7 +551,7 @@
     /** Where gateways can't talk, the counter holds a customer's use by all of its set. */
     private boolean counts(Customer c) {
         return set.sharing().counter() && !set.limits().peers() && c.spread > 1 && c.plan.rate() > 0
-                && !excessPays(c.plan);
+                && !c.plan.excessPays();
     }
 
     /** Holds a request that the own part has no room for until the whole store is known. */
@@ -555,7 +568,7 @@
     /** Adds what was used and what is wanted: of two gateways the second then sees the first one's wish. */
     private void callCounter(double now, Customer c) {
         if (wide(c)) c.window = c.windowAt(now, COUNT_LIFE_MS);
-        c.beginCall(now, wide(c));
+        c.beginCall(now);
         uncounted.remove(c);
         budget.spend(now);
         act.count(c.counter(wide(c)), c.calling, COUNT_LIFE_MS);
@@ -568,16 +581,14 @@
         c.called = false;
         boolean told = outcome == Outcome.OK;
         budget.answered(now, now - c.calledAt, told);
+        if (told) counterToldAt = now;
         if (told && wide(c)) learnWindow(now, c, total);
         else if (told) learnTotal(now, c, total);
         if (outcome.neverRan()) c.uncounted += c.calling - c.adjusted;
         if (!told) c.adjusted = 0; // by the next answer it shows whether it is still due
         List<Ask> asked = c.asking;
         c.asking = List.of();
-        for (Ask ask : asked) {
-            if (wide(c)) decideWide(now, ask, told);
-            else decideCounted(now, ask, told);
-        }
+        for (Ask ask : asked) decideCounted(now, ask, told);
         while (!told && !c.pending.isEmpty()) {
             Ask next = c.pending.poll();
             decide(now, next, wide(c) && guess(now, next));
@@ -595,33 +606,27 @@
         else uncounted.add(c);
     }
 
+    /** In a wide set what is let in is counted here; elsewhere it is charged anew. */
     private void decideCounted(double now, Ask ask, boolean told) {
         Customer c = ask.customer;
         double units = ask.request.units();
-        c.uncounted -= units; // wanted only; what is let in is charged anew
-        if (told) learnRoom(now, ask, c.level >= units);
-        if (ask.done) return;
-        decide(now, ask, (told ? c.level >= units : c.tokens >= units) && openAdmits(now, c));
+        boolean room = told ? c.level >= units : wide(c) ? guess(now, ask) : c.tokens >= units;
+        if (told) learnRoom(now, ask, room);
+        boolean in = room && !ask.done && openAdmits(now, c);
+        ask.counted = in && wide(c);
+        c.uncounted += (ask.counted ? units : 0) - ask.wish;
+        if (told && !room) c.uncounted -= ask.others; // excess takes nothing
+        if (ask.counted) adaptMargin(ask, told ? 1 : chance(ask));
+        if (!ask.done) decide(now, ask, in);
     }
 
     private void learnRoom(double now, Ask ask, boolean room) {
         Customer c = ask.customer;
-        chances[c.planNumber].learn(known(now, ask), room);
+        chances[c.planNumber].learn(ask.known, room);
         ask.refusal = room ? Refusal.OPEN : Refusal.QUOTA; // if it is not let in
         c.told = !room ? Told.EMPTY : c.level < c.plan.burst() / 2 ? Told.LOW : Told.ROOM;
     }
 
-    private void decideWide(double now, Ask ask, boolean told) {
-        Customer c = ask.customer;
-        double units = ask.request.units();
-        boolean room = told ? c.level >= units : guess(now, ask);
-        if (told) learnRoom(now, ask, room);
-        boolean in = room && !ask.done && openAdmits(now, c);
-        c.uncounted += (in ? units : 0) - ask.wish;
-        ask.counted = in;
-        if (!ask.done) decide(now, ask, in);
-    }
-
     /** What is to be put right in a count has a worth too, and waits where calls save more elsewhere. */
     private boolean worthCalling(double now, Customer c) {
         double each = wide(c) ? GIVE_BACK : c.spread * (1 - c.fullness());
@@ -633,10 +638,7 @@
     private void learnTotal(double now, Customer c, double total) {
         boolean anew = c.totalAt == State.NEVER || total < c.total / 2;
         double others = total - c.calling - (anew ? 0 : c.total);
-        c.total = total;
-        c.totalAt = c.newsAt = now;
-        c.level = Math.max(0, Math.min(c.plan.burst(), c.level - others)); // excess takes nothing
-        c.spare = Math.min(c.spare, c.level);
+        c.learn(now, total, c.level - others);
     }
 
     /**
@@ -646,15 +648,12 @@
      */
     private void learnWindow(double now, Customer c, double total) {
         double seconds = c.inWindowMs(now, COUNT_LIFE_MS) / 1000;
-        double left = c.plan.burst() + c.plan.rate() * seconds - (total - c.wantedUnits(wide(c)));
+        double left = c.plan.burst() + c.plan.rate() * seconds - (total - c.wantedUnits());
         if (c.adjusted > 0 && left < c.plan.burst() - c.adjusted / 2) c.uncounted -= c.adjusted;
         c.adjusted = 0;
         double lapsed = left - c.plan.burst();
         c.adjusting = lapsed > OVERFULL * c.plan.burst() ? lapsed : 0;
-        c.total = total;
-        c.totalAt = c.newsAt = now;
-        c.level = Math.max(0, Math.min(c.plan.burst(), left));
-        c.spare = Math.min(c.spare, c.level);
+        c.learn(now, total, left);
     }
 
     /** What was let in by the own part is to be known to the others too, by and by. */
--- a/src/main/java/deckfall/Chances.java
+++ b/src/main/java/deckfall/Chances.java
@@ -5,10 +5,10 @@
  * told, which fades, over what is to be expected before. It decides nothing.
  */
 final class Chances {
-    /** What the counter told of a customer when it was asked last, if that was not long ago. */
-    enum Told { NOTHING, ROOM, LOW, EMPTY }
+    /** What the counter told of a customer when it was asked last, or that this gateway let one in, not long ago. */
+    enum Told { NOTHING, USED, ROOM, LOW, EMPTY }
 
-    private static final double[] EXPECTED = {0.8, 0.8, 0.6, 0.4}; // by what was told
+    private static final double[] EXPECTED = {0.8, 0.6, 0.8, 0.6, 0.4}; // by what was told
     private static final double HOT = 0.8; // less where the meter showed more than the quota
     private static final double RETRY = 0.6; // and where another gateway has refused
     private static final double EXPECTED_WEIGHT = 4; // answers
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -53,7 +53,22 @@
 
     /** A plan's quotas, for each customer over all gateways; a figure of 0 means that there is no such limit. */
     public record Plan(String name, double rate, double burst, int openLimit, double price, double overWorth,
-            double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
+            double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) {
+        /** True where what is served beyond the quota earns as much as it costs. */
+        public boolean excessPays() {
+            return overWorth > 0 && overWorth >= overCost;
+        }
+
+        /** What a unit beyond the quota loses, in times of its worth. */
+        public double excessLossOfWorth() {
+            return overCost - overWorth;
+        }
+
+        /** The same, in times of the worth of the class alone. */
+        public double excessLoss() {
+            return price * excessLossOfWorth();
+        }
+    }
 
     public record Limits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean peers,
             boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs) { }
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -152,6 +152,7 @@
         int open;
         double total; // as last told by the counter
         double totalAt = NEVER;
+        double letInAt = NEVER;
         double calledAt = NEVER;
         double uncounted; // units used here that no call has added yet; below nothing: to be given back
         double calling; // units that the call under way adds
@@ -202,20 +203,28 @@
         }
 
         /** All that waits to be asked and added goes with one call. */
-        void beginCall(double now, boolean wide) {
+        void beginCall(double now) {
             asking = new ArrayList<>(pending);
             pending.clear();
             adjusted = adjusting;
             adjusting = 0;
-            calling = uncounted + adjusted + wantedUnits(wide);
+            calling = uncounted + adjusted + wantedUnits();
             uncounted = 0;
             called = true;
             calledAt = now;
         }
 
         /** Units that the call under way adds for the requests that it asks for, and for those that these stand for. */
-        double wantedUnits(boolean wide) {
-            return asking.stream().mapToDouble(a -> wide ? a.wish + a.others : a.request.units()).sum();
+        double wantedUnits() {
+            return asking.stream().mapToDouble(a -> a.wish + a.others).sum();
+        }
+
+        /** A total of the counter and what it shows of the store, from which excess takes nothing. */
+        void learn(double now, double counted, double left) {
+            total = counted;
+            totalAt = newsAt = now;
+            level = Math.max(0, Math.min(plan.burst(), left));
+            spare = Math.min(spare, level);
         }
 
         /** The name at the counter, with its window where it has one. */
@@ -247,6 +256,18 @@
             totalAt = r.totalAt() > 0 ? r.totalAt() : NEVER;
         }
 
+        /** A request of it is let in. */
+        void begin(double now) {
+            open++;
+            letInAt = now;
+        }
+
+        /** What this gateway learned of its store itself, as long as that tells of it. */
+        Chances.Told told(double now, double forMs) {
+            if (now - totalAt < forMs) return told;
+            return now - letInAt < forMs ? Chances.Told.USED : Chances.Told.NOTHING;
+        }
+
         double fullness() {
             return plan.burst() > 0 ? level / plan.burst() : 1;
         }
@@ -388,7 +409,8 @@
         boolean admitted;
         Gateway.Refusal refusal = Gateway.Refusal.PART; // why, if it is refused
         double share; // of such requests for which a call is made
-        double wish; // units that its call adds for itself, in a wide set
+        int known; // what was known of its customer when it came
+        double wish; // units that its call adds for itself
         double others; // and for those that are let in unasked
         boolean counted; // its own units are in the total
         boolean done;
--- a/src/test/java/deckfall/scale/HollowRunTest.java
+++ b/src/test/java/deckfall/scale/HollowRunTest.java
@@ -73,6 +73,21 @@
         assertTrue(5 * (count(f, "calls_busy") + count(f, "calls_timeout")) < calls, f.toString());
     }
 
+    /** Sets so wide that a gateway sees a customer once in a while, and a call for every other request. */
+    private static Map<String, Object> playWideSets(String... more) {
+        return play(with(new String[] {"--gateways", "40", "--spread", "40", "--rps", "300", "--seconds", "10",
+            "--warm-up-seconds", "5", "--counter-rate", "250"}, more));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "2", "3"})
+    void useBeyondQuotasIsBoundedWhereTheCounterBearsFewCalls(String seed) {
+        Map<String, Object> f = playWideSets("--seed", seed);
+        assertTrue(((Number) f.get("calls_per_try")).doubleValue() < 0.7, f.toString());
+        assertTrue(((Number) f.get("over_quota_price")).doubleValue() < 0.15, f.toString());
+        assertTrue(count(f, "served") > 1000, f.toString());
+    }
+
     /** What each fault is seen by; without one there is none of it. */
     @ParameterizedTest
     @CsvSource({"server-replaced:1:3, lists_told", "server-replaced:1:3, hosts_newly_used_per_gateway",
