Play late-seeing and all-seeing reference policies beside the module in scale hollow

`--references` plays the same tries twice more, let in by one policy for the fleet that knows each customer's true store, as it was `--seen-late-ms` ago and as it is; its gateways are told of no quotas. The report has both prices, the difference to each, and the worth served inside quotas. The stores that stood three times over are one class.

All-seeing is not nought: what waits for a server takes its units later than the policy reckons.

--- a/src/main/java/deckfall/scale/Customers.java
+++ b/src/main/java/deckfall/scale/Customers.java
@@ -121,6 +121,13 @@
         return plans;
     }
 
+    /** The plans as gateways are told of them where another decides on quotas. */
+    List<Plan> plansWithoutQuotas() {
+        return plans.stream()
+                .map(p -> new Plan(p.name(), 0, 0, 0, p.price(), p.overWorth(), p.overCost(), 0, 0, 0))
+                .toList();
+    }
+
     Plan plan(int customer) {
         return plans.get(planOf[customer]);
     }
--- a/src/main/java/deckfall/scale/Fleet.java
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -40,6 +40,7 @@
     private final Meter meter;
     private final Map<String, SeatServer> serversById = new HashMap<>(); // for look-ups alone
     private final List<RequestClass> classes = new ArrayList<>();
+    private Admission admission = Admission.BY_MODULE;
     private int gatewaysStarted;
     private long endedNanos;
 
@@ -94,7 +95,7 @@
     }
 
     Settings settings(int number, String zone) {
-        List<Plan> plans = customers.plans();
+        List<Plan> plans = admission.replacesModule() ? customers.plansWithoutQuotas() : customers.plans();
         boolean metered = options.meterLateMs > 0;
         return new Settings(Chance.mixed(options.seed, number), number, options.gateways, zone, false,
                 List.copyOf(classes), plans, List.of(),
@@ -119,11 +120,17 @@
             quotas.offer(t);
         }
         t.gateway = front.gatewayFor(t);
-        if (gateways[t.gateway].alive()) {
-            gateways[t.gateway].request(t);
-        } else {
+        if (!gateways[t.gateway].alive()) {
             ended(t, Figures.End.NO_GATEWAY, 0);
+            return;
         }
+        admission.refusal(t).ifPresentOrElse(
+                retryAfterMs -> ended(t, Figures.End.REFUSED, retryAfterMs), () -> gateways[t.gateway].request(t));
+    }
+
+    /** Who decides on quotas in place of the gateways; before any of them starts. */
+    void admitBy(Admission by) {
+        admission = by;
     }
 
     /** A try has its final answer. */
--- a/src/main/java/deckfall/scale/HollowOptions.java
+++ b/src/main/java/deckfall/scale/HollowOptions.java
@@ -1,6 +1,7 @@
 package deckfall.scale;
 
 import java.io.File;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -99,6 +100,11 @@
     double meterPeriodMs;
     @Option(names = "--meter-late-ms", defaultValue = "350", description = "0: no meter (${DEFAULT-VALUE})")
     double meterLateMs;
+    @Option(names = "--references", description = "play the reference policies on the same seed as well")
+    boolean references;
+    @Option(names = "--seen-late-ms", defaultValue = "500",
+            description = "age of the stores that the late-seeing reference knows (${DEFAULT-VALUE})")
+    double seenLateMs;
     @Option(names = "--fault", paramLabel = "AT:KIND:LENGTH[:SIZE]", converter = Fault.Reader.class,
             description = "seconds after the warm-up, kind, seconds, size; may be given again")
     List<Fault> faults = new ArrayList<>();
@@ -108,9 +114,18 @@
     @Override
     public Integer call() {
         check();
-        HollowRun run = new HollowRun(this, System.err);
-        HollowRun.Result result = run.play();
-        return new Report(this, "hollow", result.fleet(), result.costs()).write(System.out);
+        return report(System.err).write(System.out);
+    }
+
+    /** Plays the module and, where they are wanted, the reference policies. */
+    Report report(PrintStream progress) {
+        HollowRun.Result result = new HollowRun(this, progress).play();
+        Report report = new Report(this, "hollow", result.fleet(), result.costs());
+        if (references) {
+            report.addReference("late_seeing", new HollowRun(this, progress).playReference(seenLateMs).fleet());
+            report.addReference("all_seeing", new HollowRun(this, progress).playReference(0).fleet());
+        }
+        return report;
     }
 
     void check() {
@@ -146,6 +161,7 @@
         within("--counter-line", counterLine, 0, MOST_SECONDS);
         within("--meter-period-ms", meterPeriodMs, 1, MOST_MS);
         within("--meter-late-ms", meterLateMs, 0, MOST_MS);
+        within("--seen-late-ms", seenLateMs, 0, MOST_MS);
         if (regions == 1 && faults.stream().anyMatch(f -> f.kind() == Fault.Kind.REGION_CUT)) {
             throw bad("--fault: region-cut needs --regions 2 or more");
         }
--- a/src/main/java/deckfall/scale/HollowRun.java
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -29,7 +29,18 @@
     }
 
     Result play() {
-        fleet = new Fleet(options, 0, options.gateways);
+        return play(new Fleet(options, 0, options.gateways));
+    }
+
+    /** The same tries, let in by stores that are known as they were so many milliseconds ago. */
+    Result playReference(double delayMs) {
+        Fleet reference = new Fleet(options, 0, options.gateways);
+        reference.admitBy(new ReferenceAdmission(reference.queue, reference.customers, delayMs));
+        return play(reference);
+    }
+
+    private Result play(Fleet played) {
+        fleet = played;
         runTo(HollowOptions.START_MS);
         fleet.startClients(options.endMs());
         new FaultSchedule(fleet).place(options.faults, options.warmUpMs());
--- a/src/main/java/deckfall/scale/Quotas.java
+++ b/src/main/java/deckfall/scale/Quotas.java
@@ -12,69 +12,58 @@
 
     private final Customers customers;
     private final Seconds seconds;
-    private final double[] stored;
-    private final double[] storedAt;
-    private final double[] offered;
-    private final double[] offeredAt;
+    private final Stores stores;
+    private final Stores offered;
     private final Windows beyond;
     private final Windows lacking;
     private double unitsSent;
     private double unitsBeyond;
     private double priceBeyond;
     private double worthInside;
+    private double worthSentInside;
     private long refusedWithRoom;
 
     Quotas(Customers customers, Seconds seconds) {
         this.seconds = seconds;
         this.customers = customers;
-        stored = new double[customers.count()];
-        storedAt = new double[customers.count()];
-        offered = new double[customers.count()];
-        offeredAt = new double[customers.count()];
+        stores = new Stores(customers);
+        offered = new Stores(customers);
         beyond = new Windows(customers.count());
         lacking = new Windows(customers.count());
-        for (int c = 0; c < customers.count(); c++) {
-            stored[c] = offered[c] = customers.plan(c).burst();
-        }
-    }
-
-    private static double filled(Plan plan, double[] store, double[] at, int c, double nowMs) {
-        store[c] = Math.min(plan.burst(), store[c] + plan.rate() * (nowMs - at[c]) / 1000);
-        at[c] = nowMs;
-        return store[c];
     }
 
     /** A client's first try, whichever gateway it goes to. */
     void offer(Try t) {
-        Plan plan = customers.plan(t.customer);
-        if (filled(plan, offered, offeredAt, t.customer, t.arrivedMs) >= t.units) {
-            offered[t.customer] -= t.units;
-            worthInside += t.measured ? plan.price() * t.units : 0;
-        }
+        boolean inside = offered.take(t.customer, t.units, t.arrivedMs);
+        worthInside += inside && t.measured ? worth(t) : 0;
     }
 
     /** A try's first attempt has come to a seat server. */
     void take(Try t, double nowMs) {
-        Plan plan = customers.plan(t.customer);
-        boolean inside = filled(plan, stored, storedAt, t.customer, nowMs) >= t.units;
-        stored[t.customer] -= inside ? t.units : 0;
+        boolean inside = stores.take(t.customer, t.units, nowMs);
         seconds.add(Seconds.Sum.UNITS_SENT, nowMs, t.units);
         seconds.add(Seconds.Sum.UNITS_BEYOND, nowMs, inside ? 0 : t.units);
         if (!t.measured) {
             return;
         }
         unitsSent += t.units;
-        if (!inside) {
-            unitsBeyond += t.units;
-            priceBeyond += plan.price() * plan.overCost() * t.units;
-            beyond.add(t.customer, nowMs, t.units);
+        if (inside) {
+            worthSentInside += worth(t);
+            return;
         }
+        unitsBeyond += t.units;
+        priceBeyond += customers.plan(t.customer).overCost() * worth(t);
+        beyond.add(t.customer, nowMs, t.units);
+    }
+
+    private double worth(Try t) {
+        return customers.plan(t.customer).price() * t.units;
     }
 
     /** A try that was never sent on was refused: with room, where half of the store lay unused. */
     void refused(Try t, double nowMs) {
         Plan plan = customers.plan(t.customer);
-        boolean room = filled(plan, stored, storedAt, t.customer, nowMs) >= Math.max(t.units, plan.burst() / 2);
+        boolean room = stores.at(t.customer, nowMs) >= Math.max(t.units, plan.burst() / 2);
         seconds.add(Seconds.Sum.REFUSED_WITH_ROOM, nowMs, room ? 1 : 0);
         if (room && t.measured) {
             refusedWithRoom++;
@@ -90,14 +79,25 @@
         return unitsBeyond;
     }
 
-    double priceBeyond() {
-        return priceBeyond;
-    }
-
     double worthInside() {
         return worthInside;
     }
 
+    /** What was sent on inside quotas, further tries as well. */
+    double worthSentInside() {
+        return worthSentInside;
+    }
+
+    /** The cost of use beyond quotas as a share of the worth offered inside them. */
+    double overQuotaPrice() {
+        return worthInside > 0 ? priceBeyond / worthInside : 0;
+    }
+
+    /** The worth sent on inside quotas as a share of the worth offered inside them by first tries. */
+    double servedWorthShare() {
+        return worthInside > 0 ? worthSentInside / worthInside : 0;
+    }
+
     long refusedWithRoom() {
         return refusedWithRoom;
     }
--- a/src/main/java/deckfall/scale/Report.java
+++ b/src/main/java/deckfall/scale/Report.java
@@ -74,7 +74,8 @@
         put("units_sent", q.unitsSent());
         put("units_beyond", q.unitsBeyond());
         put("units_beyond_share", share(q.unitsBeyond(), q.unitsSent()));
-        put("over_quota_price", share(q.priceBeyond(), q.worthInside()));
+        put("over_quota_price", q.overQuotaPrice());
+        put("served_worth_share", q.servedWorthShare());
         put("beyond_customers", q.beyond().customers());
         put("beyond_units_5s_largest", q.beyond().largest());
         put("beyond_units_5s_mean", q.beyond().mean());
@@ -83,6 +84,14 @@
         put("lacking_units_5s_mean", q.lacking().mean());
     }
 
+    /** How a reference policy did on the same tries, beside the module. */
+    void addReference(String name, Fleet reference) {
+        Quotas q = reference.quotas;
+        put(name + "_over_quota_price", q.overQuotaPrice());
+        put(name + "_served_worth_share", q.servedWorthShare());
+        put("over_quota_price_above_" + name, fleet.quotas.overQuotaPrice() - q.overQuotaPrice());
+    }
+
     private void counter() {
         Figures f = fleet.figures;
         put("calls", f.allCalls());
--- a/src/test/java/deckfall/scale/HollowRunTest.java
+++ b/src/test/java/deckfall/scale/HollowRunTest.java
@@ -33,7 +33,7 @@
         HollowOptions options = new HollowOptions();
         new CommandLine(options).setOverwrittenOptionsAllowed(true).parseArgs(arguments.toArray(new String[0]));
         PrintStream nowhere = new PrintStream(OutputStream.nullOutputStream());
-        return new Report(options, "hollow", new HollowRun(options, nowhere).play().fleet(), Map.of()).figures();
+        return options.report(nowhere).figures();
     }
 
     private static long count(Map<String, Object> figures, String name) {
@@ -88,6 +88,22 @@
         assertTrue(count(f, "served") > 1000, f.toString());
     }
 
+    private static double number(Map<String, Object> figures, String name) {
+        return ((Number) figures.get(name)).doubleValue();
+    }
+
+    /** What sees all lets in hardly any beyond quotas (what waits for a server takes its units later than it sees). */
+    @Test
+    void theReferencePoliciesBoundWhatTheModuleCanDo() {
+        Map<String, Object> f = playWideSets("--references");
+        assertTrue(number(f, "all_seeing_over_quota_price") < 0.02, f.toString());
+        assertTrue(number(f, "all_seeing_served_worth_share") > 0.97, f.toString());
+        assertTrue(number(f, "late_seeing_over_quota_price") > number(f, "all_seeing_over_quota_price"), f.toString());
+        assertEquals(number(f, "over_quota_price") - number(f, "late_seeing_over_quota_price"),
+                number(f, "over_quota_price_above_late_seeing"), 1e-4);
+        assertTrue(number(f, "late_seeing_served_worth_share") > number(f, "served_worth_share"), f.toString());
+    }
+
     /** What each fault is seen by; without one there is none of it. */
     @ParameterizedTest
     @CsvSource({"server-replaced:1:3, lists_told", "server-replaced:1:3, hosts_newly_used_per_gateway",
