--- a/src/main/java/deckfall/CallBudget.java
+++ b/src/main/java/deckfall/CallBudget.java
@@ -95,9 +95,9 @@
         answeredAt = now;
         if (late <= 0) {
             inTime++;
-            boolean wanted = price(now) > least; // an answer to few calls says nothing of more
-            if (wanted) rate += seconds * (starting ? START_GROWTH * rate : GROWTH_STEP + GROWTH * rate
-                    * (rate < FAR_BELOW * borne ? RECOVERY : 1));
+            double recovery = rate < FAR_BELOW * borne ? RECOVERY : 1;
+            double growth = starting ? START_GROWTH * rate : GROWTH_STEP + GROWTH * rate * recovery;
+            if (price(now) > least) rate += seconds * growth; // an answer to few calls says nothing of more
             return;
         }
         if (inTime >= STEADY) borne = rate;
