--- a/src/main/java/deckfall/Chances.java
+++ b/src/main/java/deckfall/Chances.java
@@ -6,7 +6,13 @@
  */
 final class Chances {
     /** What the counter told of a customer when it was asked last, or that this gateway let one in, not long ago. */
-    enum Told { NOTHING, USED, ROOM, LOW, EMPTY }
+    enum Told {
+        NOTHING,
+        USED,
+        ROOM,
+        LOW,
+        EMPTY
+    }
 
     private static final double[] EXPECTED = {0.8, 0.6, 0.8, 0.6, 0.4}; // by what was told
     private static final double HOT = 0.8; // less where the meter showed more than the quota
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -4,14 +4,20 @@
 
 /** What the decision module is told and what it can do: settings, events and actions. No decision lives here. */
 public final class Gateway {
-    private Gateway() { }
+    private Gateway() {}
 
     /** What repeating a request of a class does. */
-    public enum Effect { REPEATABLE, KEYED, ONCE }
+    public enum Effect {
+        REPEATABLE,
+        KEYED,
+        ONCE
+    }
 
     /** The hosts that drop repeats of one key. */
     public enum Scope {
-        ALL, ZONE, CELL;
+        ALL,
+        ZONE,
+        CELL;
 
         /** True where both hosts drop repeats of the same keys. */
         public boolean together(Host a, Host b) {
@@ -19,14 +25,30 @@
         }
     }
 
-    public enum HostState { RUNNING, DRAINING, GONE }
+    public enum HostState {
+        RUNNING,
+        DRAINING,
+        GONE
+    }
 
     /** How a list of hosts is to be read: changes, all, what was held before a restart, or none (a call failed). */
-    public enum ListKind { CHANGES, FULL, CACHED, FAILED }
+    public enum ListKind {
+        CHANGES,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** How an attempt, a probe or a counter call ended. */
     public enum Outcome {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT;
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT;
 
         /** True where the outcome proves that the host never ran the request. */
         public boolean neverRan() {
@@ -48,12 +70,29 @@
         PLACE
     }
 
-    public record RequestClass(String name, Effect effect, Scope scope, double windowMs, double aimMs,
-            double deadlineMs, double worth, double lateValue, boolean streaming) { }
+    public record RequestClass(
+            String name,
+            Effect effect,
+            Scope scope,
+            double windowMs,
+            double aimMs,
+            double deadlineMs,
+            double worth,
+            double lateValue,
+            boolean streaming) {}
 
     /** A plan's quotas, for each customer over all gateways; a figure of 0 means that there is no such limit. */
-    public record Plan(String name, double rate, double burst, int openLimit, double price, double overWorth,
-            double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) {
+    public record Plan(
+            String name,
+            double rate,
+            double burst,
+            int openLimit,
+            double price,
+            double overWorth,
+            double overCost,
+            double ceilingRate,
+            double ceilingBurst,
+            double ceilingSlack) {
         /** True where what is served beyond the quota earns as much as it costs. */
         public boolean excessPays() {
             return overWorth > 0 && overWorth >= overCost;
@@ -70,35 +109,94 @@
         }
     }
 
-    public record Limits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean peers,
-            boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs) { }
-
-    public record Rules(double answerSlackMs, double drainGraceMs, double fallMultiple, double fallMs,
-            double coldFrom, double warmWithinMs, double askWithinMs) { }
+    public record Limits(
+            int maxAttempts,
+            boolean duplicates,
+            boolean cancel,
+            boolean probes,
+            boolean peers,
+            boolean retryAfter,
+            double maxRetryAfterMs,
+            double connectTimeoutMs) {}
+
+    public record Rules(
+            double answerSlackMs,
+            double drainGraceMs,
+            double fallMultiple,
+            double fallMs,
+            double coldFrom,
+            double warmWithinMs,
+            double askWithinMs) {}
 
     /** Where gateways may learn of each other, and what one costs. */
-    public record Sharing(boolean counter, double counterPrice, double counterTimeoutMs, double meterPeriodMs, boolean postPaid,
-            double maxUnits, double mailPerSecond, double peerPrice, double probePrice, double zonePrice) { }
-
-    public record Settings(long seed, int me, int gateways, String zone, boolean subscribe,
-            List<RequestClass> classes, List<Plan> plans, List<String> reportNames, Limits limits, Rules rules,
-            Sharing sharing) { }
-
-    public record Host(String id, String zone, String kind, int cell, HostState state, double rating,
-            double startedMs) { }
+    public record Sharing(
+            boolean counter,
+            double counterPrice,
+            double counterTimeoutMs,
+            double meterPeriodMs,
+            boolean postPaid,
+            double maxUnits,
+            double mailPerSecond,
+            double peerPrice,
+            double probePrice,
+            double zonePrice) {}
+
+    public record Settings(
+            long seed,
+            int me,
+            int gateways,
+            String zone,
+            boolean subscribe,
+            List<RequestClass> classes,
+            List<Plan> plans,
+            List<String> reportNames,
+            Limits limits,
+            Rules rules,
+            Sharing sharing) {}
+
+    public record Host(
+            String id, String zone, String kind, int cell, HostState state, double rating, double startedMs) {}
 
     /** A request: {@code spread} gateways from number {@code first} on, counted round, may receive the customer. */
-    public record Request(String id, double deadlineMs, boolean retry, String requestClass, long customer,
-            String plan, double units, int first, int spread) { }
+    public record Request(
+            String id,
+            double deadlineMs,
+            boolean retry,
+            String requestClass,
+            long customer,
+            String plan,
+            double units,
+            int first,
+            int spread) {}
 
     /** How an attempt ended; {@code usedPct} is 0 and {@code trueUnits} is 0 where nothing was told. */
-    public record AttemptResult(String id, int attempt, String host, Outcome outcome, double latencyMs,
-            boolean closed, int usedPct, double trueUnits, double[] report) { }
+    public record AttemptResult(
+            String id,
+            int attempt,
+            String host,
+            Outcome outcome,
+            double latencyMs,
+            boolean closed,
+            int usedPct,
+            double trueUnits,
+            double[] report) {}
 
     /** What one process of a gateway knows of a customer, for one that serves beside or after it. */
-    public record Remembered(long customer, int plan, int first, int spread, double tokens, double level, double spare,
-            double meterTotal, double meterOwn, double meterSeconds, double meterPart, double meterAt,
-            double total, double totalAt) { }
+    public record Remembered(
+            long customer,
+            int plan,
+            int first,
+            int spread,
+            double tokens,
+            double level,
+            double spare,
+            double meterTotal,
+            double meterOwn,
+            double meterSeconds,
+            double meterPart,
+            double meterAt,
+            double total,
+            double totalAt) {}
 
     /** Everything that a gateway sees; {@code now} is the only clock, in milliseconds. */
     public interface Events {
@@ -116,7 +214,7 @@
 
         void timer(double now, String token);
 
-        default void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
+        default void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) {}
 
         void peerSaid(double now, int peer, byte[] data);
 
--- a/src/main/java/deckfall/Main.java
+++ b/src/main/java/deckfall/Main.java
@@ -11,7 +11,7 @@
 public final class Main {
     private static final int USAGE = 2;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException {
         if (args.length > 0 && args[0].equals("scale")) {
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -18,13 +18,17 @@
 final class State {
     static final double NEVER = Double.NEGATIVE_INFINITY;
 
-    private State() { }
+    private State() {}
 
     /** The gateways of a set that stand first by the hash of a thing: each gateway finds the same by itself. */
     static int[] ranked(long thing, int first, int spread, int gateways, int count) {
-        return IntStream.range(first, first + spread).map(g -> Math.floorMod(g, gateways)).boxed()
-                .sorted(Comparator.comparingLong(g -> mixed(thing * 31 + mixed(g)))).limit(count)
-                .mapToInt(g -> g).toArray();
+        return IntStream.range(first, first + spread)
+                .map(g -> Math.floorMod(g, gateways))
+                .boxed()
+                .sorted(Comparator.comparingLong(g -> mixed(thing * 31 + mixed(g))))
+                .limit(count)
+                .mapToInt(g -> g)
+                .toArray();
     }
 
     private static long mixed(long x) {
@@ -50,7 +54,6 @@
         double markDelay;
         double markWeight;
 
-
         ClassState(RequestClass spec) {
             this.spec = spec;
         }
@@ -238,8 +241,21 @@
         }
 
         Gateway.Remembered remembered() {
-            return new Gateway.Remembered(id, planNumber, first, spread, tokens, level, spare, meterTotal, meterOwn,
-                    meterSeconds, meterPart, Math.max(0, meterAt), total, Math.max(0, totalAt));
+            return new Gateway.Remembered(
+                    id,
+                    planNumber,
+                    first,
+                    spread,
+                    tokens,
+                    level,
+                    spare,
+                    meterTotal,
+                    meterOwn,
+                    meterSeconds,
+                    meterPart,
+                    Math.max(0, meterAt),
+                    total,
+                    Math.max(0, totalAt));
         }
 
         /** What one of so many processes of this gateway has of what it remembers. */
--- a/src/main/java/deckfall/Tell.java
+++ b/src/main/java/deckfall/Tell.java
@@ -29,16 +29,32 @@
      * store where it has one. The answer of a keeper: units booked, units granted of what was wanted, the demand of
      * the others, the store, ceiling units given so far in the receiver's life.
      */
-    record Entry(boolean answer, boolean reply, boolean ceiling, boolean unsure, boolean view, long customer, int plan,
-            int first, int spread, double used, double want, double demand, double fullness, int open,
+    record Entry(
+            boolean answer,
+            boolean reply,
+            boolean ceiling,
+            boolean unsure,
+            boolean view,
+            long customer,
+            int plan,
+            int first,
+            int spread,
+            double used,
+            double want,
+            double demand,
+            double fullness,
+            int open,
             double given) {
         private int bytes() {
             return 17 + (answer ? 0 : 4) + (answer || view ? 2 : 0) + (answer && ceiling ? 4 : 0);
         }
 
         private void put(ByteBuffer b) {
-            b.put((byte) ((answer ? ANSWER : 0) | (reply ? REPLY : 0) | (ceiling ? CEILING : 0)
-                    | (unsure ? UNSURE : 0) | (view ? VIEW : 0)));
+            b.put((byte) ((answer ? ANSWER : 0)
+                    | (reply ? REPLY : 0)
+                    | (ceiling ? CEILING : 0)
+                    | (unsure ? UNSURE : 0)
+                    | (view ? VIEW : 0)));
             b.put((byte) plan).put((byte) (customer >>> 32)).putInt((int) customer);
             if (!answer) b.putShort((short) first).putShort((short) spread);
             b.putInt((int) Math.round(used * PER_UNIT)).putShort(word(want * PER_UNIT));
@@ -62,8 +78,22 @@
             int open = b.getShort() & WORD;
             double fullness = answer || view ? b.getShort() / PER_STORE : 0;
             double given = answer && ceiling ? b.getInt() / PER_UNIT : 0;
-            return new Entry(answer, (flags & REPLY) != 0, ceiling, (flags & UNSURE) != 0, view, customer, plan,
-                    first, spread, used, want, demand, fullness, open, given);
+            return new Entry(
+                    answer,
+                    (flags & REPLY) != 0,
+                    ceiling,
+                    (flags & UNSURE) != 0,
+                    view,
+                    customer,
+                    plan,
+                    first,
+                    spread,
+                    used,
+                    want,
+                    demand,
+                    fullness,
+                    open,
+                    given);
         }
     }
 
--- a/src/main/java/deckfall/net/Beside.java
+++ b/src/main/java/deckfall/net/Beside.java
@@ -21,7 +21,7 @@
     private static final String SUFFIX = ".json";
 
     /** A process and its connections as its file tells; {@code memory} is empty while nobody is to take over. */
-    record Note(long pid, double atMs, boolean serving, int clients, int hosts, List<Remembered> memory) { }
+    record Note(long pid, double atMs, boolean serving, int clients, int hosts, List<Remembered> memory) {}
 
     private final Path folder;
     private final long pid;
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -105,9 +105,10 @@
     ChannelFuture start(ServerSocketChannel inherited) {
         sharesListener = inherited != null;
         node.loop.scheduleAtFixedRate(this::watch, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
-        ServerBootstrap bootstrap = new ServerBootstrap().group(node.group)
-                .channelFactory(() -> sharesListener ? new NioServerSocketChannel(inherited)
-                        : new NioServerSocketChannel())
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(node.group)
+                .channelFactory(
+                        () -> sharesListener ? new NioServerSocketChannel(inherited) : new NioServerSocketChannel())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers())
@@ -123,8 +124,10 @@
             listener = registered.channel();
             return registered;
         }
-        ChannelFuture bound = bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true).bind(node.config.listen());
+        ChannelFuture bound = bootstrap
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .bind(node.config.listen());
         listener = bound.channel();
         return bound;
     }
@@ -246,7 +249,8 @@
             } else if (incoming != null) {
                 double ms = now - incoming.sinceMs;
                 double late = known ? ms : now - headSince; // a stranger's time counts from its connecting
-                if (late > HEAD_MS && channel.config().isAutoRead()
+                if (late > HEAD_MS
+                        && channel.config().isAutoRead()
                         && incoming.receivedBytes() < ms * SLOWEST_BYTES_PER_MS) {
                     expel(HttpResponseStatus.REQUEST_TIMEOUT);
                 }
@@ -381,7 +385,8 @@
 
         /** Reads on while there is room for what comes; a request read ahead waits as it came. */
         private void readOn() {
-            boolean wanted = incoming != null && !ended ? incoming.wanted()
+            boolean wanted = incoming != null && !ended
+                    ? incoming.wanted()
                     : waitingBytes < (node.room.tight() ? Incoming.SMALL : MOST_AHEAD);
             if (channel.config().isAutoRead() != wanted) {
                 channel.config().setAutoRead(wanted);
@@ -448,8 +453,10 @@
             } else if (refusesAll()) {
                 refuseAtDoor(read);
             } else if (incoming.hasBody()) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                        Unpooled.EMPTY_BUFFER), channel.voidPromise());
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+                        channel.voidPromise());
             }
         }
 
@@ -508,8 +515,11 @@
         }
 
         private void answerUnread(Incoming message) {
-            answer(message.head.headers().contains(Names.ID) ? HttpResponseStatus.BAD_REQUEST
-                    : HttpResponseStatus.NOT_FOUND, 0);
+            answer(
+                    message.head.headers().contains(Names.ID)
+                            ? HttpResponseStatus.BAD_REQUEST
+                            : HttpResponseStatus.NOT_FOUND,
+                    0);
         }
 
         private boolean refusesAll() {
@@ -518,7 +528,9 @@
 
         private void refuseAtDoor(Request read) {
             node.figures.ended(read.requestClass(), Figures.End.OVERLOAD);
-            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, node.config.settings().limits().maxRetryAfterMs());
+            answer(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    node.config.settings().limits().maxRetryAfterMs());
         }
 
         void holds(OpenRequest r) {
@@ -527,8 +539,8 @@
 
         /** Passes a host's answer on as it came. */
         void serve(FullHttpResponse from) {
-            FullHttpResponse to = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    from.content().retain());
+            FullHttpResponse to = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, from.content().retain());
             String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
             if (type != null) {
                 to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
@@ -584,11 +596,11 @@
         }
 
         void answer(HttpResponseStatus status, double retryAfterMs) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.EMPTY_BUFFER);
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
             if (retryAfterMs > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        Double.toString(Math.ceil(retryAfterMs) / MS_PER_SECOND));
+                response.headers()
+                        .set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.ceil(retryAfterMs) / MS_PER_SECOND));
             }
             write(response);
         }
@@ -672,8 +684,11 @@
     /** Whether the request's length can be read in one way only. */
     private static boolean framed(HttpRequest head) {
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return codings.isEmpty() || codings.size() == 1 && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
+        return codings.isEmpty()
+                || codings.size() == 1
+                        && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                codings.get(0).trim());
     }
 
     /** A client may name the whole address, as it would to a proxy; hosts are asked for path and query. */
@@ -696,7 +711,7 @@
         static final String RETRY = "X-Second-Try";
         static final String KEY = "Idempotency-Key";
 
-        private Names() { }
+        private Names() {}
     }
 
     /** The request as the module knows it, or null where it is missing or has malformed what it must say. */
@@ -709,8 +724,15 @@
         String expires = h.get(Names.EXPIRES);
         String quota = h.get(Names.QUOTA);
         boolean planned = plans.isEmpty() || plan != null && plans.containsKey(plan);
-        if (cls == null || id == null || id.isEmpty() || id.length() > ID_MAX || !planned || customer == null
-                || customer.length() != CUSTOMER_DIGITS || expires == null || quota == null) {
+        if (cls == null
+                || id == null
+                || id.isEmpty()
+                || id.length() > ID_MAX
+                || !planned
+                || customer == null
+                || customer.length() != CUSTOMER_DIGITS
+                || expires == null
+                || quota == null) {
             return null;
         }
         boolean safe = cls.effect() == Effect.REPEATABLE;
@@ -731,13 +753,28 @@
                     case "units" -> units = Double.parseDouble(value);
                     case "spread" -> spread = Integer.parseInt(value);
                     case "first" -> first = Integer.parseInt(value);
-                    default -> { } // a later version may say more
+                    default -> {} // a later version may say more
                 }
             }
-            boolean right = number >= 0 && number < CUSTOMER_END && left > 0 && units > 0 && units < Integer.MAX_VALUE
-                    && spread > 0 && first >= 0;
-            return !right ? null : new Request(id, Node.deadline(node.clock.now(), left), h.contains(Names.RETRY),
-                    cls.name(), number, plan, units, first, spread);
+            boolean right = number >= 0
+                    && number < CUSTOMER_END
+                    && left > 0
+                    && units > 0
+                    && units < Integer.MAX_VALUE
+                    && spread > 0
+                    && first >= 0;
+            return !right
+                    ? null
+                    : new Request(
+                            id,
+                            Node.deadline(node.clock.now(), left),
+                            h.contains(Names.RETRY),
+                            cls.name(),
+                            number,
+                            plan,
+                            units,
+                            first,
+                            spread);
         } catch (NumberFormatException e) {
             return null;
         }
--- a/src/main/java/deckfall/net/CounterClient.java
+++ b/src/main/java/deckfall/net/CounterClient.java
@@ -62,7 +62,9 @@
     }
 
     private void connect() {
-        new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
+        new Bootstrap()
+                .group(node.loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()))
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -70,7 +72,9 @@
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE), new Answers());
                     }
-                }).connect(address).addListener(f -> {
+                })
+                .connect(address)
+                .addListener(f -> {
                     if (!f.isSuccess()) {
                         again();
                     }
@@ -107,8 +111,8 @@
         out.add(call);
         String text = VERB + bulk(counter) + bulk(Double.toString(amount)) + bulk(Long.toString((long) lifetimeMs));
         channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), text), channel.voidPromise());
-        node.loop.schedule(() -> call.end(Outcome.TIMEOUT, 0), (long) node.config.counterTimeoutMs(),
-                TimeUnit.MILLISECONDS);
+        node.loop.schedule(
+                () -> call.end(Outcome.TIMEOUT, 0), (long) node.config.counterTimeoutMs(), TimeUnit.MILLISECONDS);
     }
 
     private static String bulk(String text) {
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -51,8 +51,9 @@
     /** A host with the address at which this api gateway reaches it. */
     record Entry(Host host, InetSocketAddress address) {
         Entry in(HostState state) {
-            return new Entry(new Host(host.id(), host.zone(), host.kind(), host.cell(), state, host.rating(),
-                    host.startedMs()), address);
+            return new Entry(
+                    new Host(host.id(), host.zone(), host.kind(), host.cell(), state, host.rating(), host.startedMs()),
+                    address);
         }
     }
 
@@ -90,7 +91,9 @@
     }
 
     private void connect() {
-        Bootstrap b = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
+        Bootstrap b = new Bootstrap()
+                .group(node.loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timing.patienceMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -148,12 +151,11 @@
             Channel on = channel;
             long holdMs = behind ? 0 : timing.holdMs();
             String uri = version < 0 ? PATH : PATH + "?from=" + version + "&hold_ms=" + holdMs;
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
-                    Unpooled.EMPTY_BUFFER);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             on.writeAndFlush(request, on.voidPromise());
-            timeout = node.loop.schedule(() -> on.close(), holdMs + timing.patienceMs(),
-                    TimeUnit.MILLISECONDS);
+            timeout = node.loop.schedule(() -> on.close(), holdMs + timing.patienceMs(), TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -239,7 +241,9 @@
         List<Entry> entries = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (JsonNode e : list.path(LIST)) {
-            if (!e.path("id").isTextual() || e.path("id").asText().isEmpty() || !ids.add(e.path("id").asText())) {
+            if (!e.path("id").isTextual()
+                    || e.path("id").asText().isEmpty()
+                    || !ids.add(e.path("id").asText())) {
                 throw new IllegalArgumentException("an entry without an id of its own");
             }
             HostState state = switch (e.path("state").asText()) {
@@ -248,9 +252,17 @@
                 case "gone" -> HostState.GONE;
                 default -> throw new IllegalArgumentException("unknown host state " + e.path("state"));
             };
-            entries.add(new Entry(new Host(e.path("id").asText(), e.path("zone").asText(), e.path("kind").asText(),
-                    e.path("cell").asInt(), state, e.path("weight").asDouble(1), e.path("started_ms").asDouble()),
-                    state == HostState.GONE && e.path("addr").asText().isEmpty() ? null
+            entries.add(new Entry(
+                    new Host(
+                            e.path("id").asText(),
+                            e.path("zone").asText(),
+                            e.path("kind").asText(),
+                            e.path("cell").asInt(),
+                            state,
+                            e.path("weight").asDouble(1),
+                            e.path("started_ms").asDouble()),
+                    state == HostState.GONE && e.path("addr").asText().isEmpty()
+                            ? null
                             : NodeConfig.address(e.path("addr").asText())));
         }
         return entries;
--- a/src/main/java/deckfall/net/Drain.java
+++ b/src/main/java/deckfall/net/Drain.java
@@ -58,7 +58,10 @@
      * it finds open is lost.
      */
     static long answerByMs(Settings settings) {
-        double longest = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(LONGEST_MS);
+        double longest = settings.classes().stream()
+                .mapToDouble(RequestClass::deadlineMs)
+                .max()
+                .orElse(LONGEST_MS);
         return (long) Math.max(0, Math.min(LONGEST_MS, longest) + KILLED_MS - SPARE_MS);
     }
 
--- a/src/main/java/deckfall/net/Figures.java
+++ b/src/main/java/deckfall/net/Figures.java
@@ -17,7 +17,9 @@
 
     /** How a request that was taken, or refused at the door, ended for a client that still waited. */
     enum End {
-        SUCCESS, OVERLOAD, ERROR;
+        SUCCESS,
+        OVERLOAD,
+        ERROR;
 
         private String figure() {
             return name().toLowerCase(Locale.ROOT) + "_total";
@@ -72,8 +74,10 @@
     String text() {
         StringBuilder text = new StringBuilder();
         for (End end : End.values()) {
-            ends.forEach((name, counts) ->
-                    line(text, end.figure() + "{type=\"" + name + "\"}", counts.get(end).sum()));
+            ends.forEach((name, counts) -> line(
+                    text,
+                    end.figure() + "{type=\"" + name + "\"}",
+                    counts.get(end).sum()));
         }
         line(text, "dispatches_total", dispatches.sum());
         line(text, "concurrent", open());
--- a/src/main/java/deckfall/net/Hangup.java
+++ b/src/main/java/deckfall/net/Hangup.java
@@ -8,14 +8,14 @@
  * it without a way to agree.
  */
 final class Hangup {
-    private Hangup() { }
+    private Hangup() {}
 
     static void onSignal(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object heard = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
+            Object heard = Proxy.newProxyInstance(
+                    handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         if (!method.getName().equals("handle")) {
                             return method.invoke(action, args); // what every object has
                         }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -72,6 +72,7 @@
      * a turn that accepts leaves up to 16.
      */
     static final int RESERVE = 64;
+
     private static final int MOST_RESERVED = 4; // one in so many, where there are few
     private static final double PROBE_TIMEOUT_MS = 250;
 
@@ -84,7 +85,9 @@
     HostClient(Node node) {
         this.node = node;
         this.maxConnections = most(node.config.sockets());
-        this.bootstrap = new Bootstrap().group(node.loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap()
+                .group(node.loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ClientServer.readBuffers())
@@ -186,7 +189,9 @@
             String id = e.host().id();
             named.add(id);
             Pool old = pools.get(id);
-            boolean same = old != null && old.address.equals(e.address()) && old.startedMs == e.host().startedMs();
+            boolean same = old != null
+                    && old.address.equals(e.address())
+                    && old.startedMs == e.host().startedMs();
             if (e.host().state() == HostState.GONE) {
                 pools.remove(id);
                 close(old, stranded);
@@ -271,8 +276,7 @@
         HttpHeaders h = to.headers();
         h.set(HttpHeaderNames.HOST, HOST);
         h.set(ClientServer.Names.ID, a.owner.traceId);
-        h.set(ClientServer.Names.EXPIRES,
-                Long.toString((long) Math.max(1, a.owner.deadlineMs - node.clock.now())));
+        h.set(ClientServer.Names.EXPIRES, Long.toString((long) Math.max(1, a.owner.deadlineMs - node.clock.now())));
         String key = from.headers().get(ClientServer.Names.KEY);
         if (key != null) {
             h.set(ClientServer.Names.KEY, key);
@@ -300,23 +304,31 @@
             void ended(Outcome outcome, FullHttpResponse response) {
                 if (!over) {
                     over = true;
-                    node.probed(host, outcome, node.clock.now() - sentAt, response == null ? new double[0]
-                            : parse(response.content().toString(StandardCharsets.US_ASCII)));
+                    node.probed(
+                            host,
+                            outcome,
+                            node.clock.now() - sentAt,
+                            response == null
+                                    ? new double[0]
+                                    : parse(response.content().toString(StandardCharsets.US_ASCII)));
                 }
             }
         };
         start(host, probe, () -> {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                    Unpooled.EMPTY_BUFFER);
+            FullHttpRequest message =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
             message.headers().set(HttpHeaderNames.HOST, HOST);
             return message;
         });
-        node.loop.schedule(() -> {
-            if (probe.connection != null) {
-                probe.abandon();
-                probe.ended(Outcome.TIMEOUT, null);
-            }
-        }, (long) PROBE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        node.loop.schedule(
+                () -> {
+                    if (probe.connection != null) {
+                        probe.abandon();
+                        probe.ended(Outcome.TIMEOUT, null);
+                    }
+                },
+                (long) PROBE_TIMEOUT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void start(String host, Exchange x, Message message) {
@@ -343,7 +355,7 @@
      */
     private Connection takeIdle(Pool pool) {
         double now = node.clock.now();
-        for (Iterator<Connection> lastFirst = pool.idle.descendingIterator(); lastFirst.hasNext();) {
+        for (Iterator<Connection> lastFirst = pool.idle.descendingIterator(); lastFirst.hasNext(); ) {
             Connection c = lastFirst.next();
             double idleMs = now - c.idleSince;
             if (idleMs < REST_MS) {
@@ -369,13 +381,16 @@
         pool.rising.add(c);
         c.exchange = x;
         x.connection = c;
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(SocketChannel ch) {
-                c.channel = ch;
-                ch.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
-            }
-        }).connect(pool.address);
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        c.channel = ch;
+                        ch.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
+                    }
+                })
+                .connect(pool.address);
         connecting.addListener(f -> node.onLoop(() -> {
             pool.rising.remove(c);
             if (!f.isSuccess()) { // also where no descriptor was left: then there is no channel to close
@@ -391,8 +406,7 @@
     }
 
     /** One connection to a host. */
-    private final class Connection extends ChannelInboundHandlerAdapter implements Transfer.Source,
-            Incoming.Receiver {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Transfer.Source, Incoming.Receiver {
         private final Pool pool;
         private final StrictResponseDecoder decoder = new StrictResponseDecoder();
         private SocketChannel channel;
@@ -478,7 +492,10 @@
         /** What was asked here ended without an answer. It may have run only once its last byte had left. */
         private void lost() {
             if (exchange != null && idleBeforeMs > TRUST_MIN_MS && node.clock.now() - wroteAt < PROMPT_MS) {
-                node.tally.note(Tally.Count.CLOSED_EARLY, idAsked(), pool.address.toString(),
+                node.tally.note(
+                        Tally.Count.CLOSED_EARLY,
+                        idAsked(),
+                        pool.address.toString(),
                         "its connection had been idle for " + (long) idleBeforeMs + " ms");
                 pool.closedEarly(idleBeforeMs);
             }
@@ -539,7 +556,8 @@
         private void read(HttpObject object) {
             if (object instanceof HttpResponse response) {
                 if (!bounded(response)) {
-                    unreadable("nothing tells the length of " + response.status() + ", " + response.headers().names());
+                    unreadable("nothing tells the length of " + response.status() + ", "
+                            + response.headers().names());
                     return;
                 }
                 boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -555,9 +573,11 @@
          * it is no reset; unannounced it can't be told from a break.
          */
         private boolean bounded(HttpResponse response) {
-            return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+            return HttpUtil.isContentLengthSet(response)
+                    || HttpUtil.isTransferEncodingChunked(response)
                     || response.status().codeClass() != HttpStatusClass.INFORMATIONAL
-                    && response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+                            && response.headers()
+                                    .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
         }
 
         private void unreadable(String why) {
@@ -610,8 +630,8 @@
 
         private void whole() {
             if (transfer == null) {
-                answer = new DefaultFullHttpResponse(head.protocolVersion(), head.status(), takeBody(),
-                        head.headers(), EmptyHttpHeaders.INSTANCE);
+                answer = new DefaultFullHttpResponse(
+                        head.protocolVersion(), head.status(), takeBody(), head.headers(), EmptyHttpHeaders.INSTANCE);
                 return;
             }
             Transfer done = transfer;
@@ -726,12 +746,15 @@
         for (String part : text.substring(text.indexOf(' ') + 1).split(",")) {
             int equals = part.indexOf('=');
             try {
-                told.put(part.substring(0, Math.max(0, equals)).trim(),
+                told.put(
+                        part.substring(0, Math.max(0, equals)).trim(),
                         Double.valueOf(part.substring(equals + 1).trim()));
             } catch (NumberFormatException e) {
                 return new double[0];
             }
         }
-        return told.keySet().containsAll(names) ? names.stream().mapToDouble(told::get).toArray() : new double[0];
+        return told.keySet().containsAll(names)
+                ? names.stream().mapToDouble(told::get).toArray()
+                : new double[0];
     }
 }
--- a/src/main/java/deckfall/net/Incoming.java
+++ b/src/main/java/deckfall/net/Incoming.java
@@ -34,7 +34,7 @@
     private final Room room;
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private Receiver receiver;
-    private Runnable onRoom = () -> { };
+    private Runnable onRoom = () -> {};
     private long receivedBytes;
     private boolean whole;
     private boolean spent; // passed on at least in part
@@ -107,7 +107,8 @@
 
     /** Whether more of it can be taken from the client now. */
     boolean wanted() {
-        return receiver != null ? receiver.writable()
+        return receiver != null
+                ? receiver.writable()
                 : spent || released || !outgrown() || held.readableBytes() < MOST_HELD && !room.tight();
     }
 
--- a/src/main/java/deckfall/net/Inherited.java
+++ b/src/main/java/deckfall/net/Inherited.java
@@ -9,7 +9,7 @@
     private static final String VARIABLE = "NODE_LISTEN_FD";
     private static final String DESCRIPTOR = "0";
 
-    private Inherited() { }
+    private Inherited() {}
 
     /** Null where the platform hands none over: then a node binds its address itself. */
     static ServerSocketChannel listener() throws IOException {
--- a/src/main/java/deckfall/net/Leaving.java
+++ b/src/main/java/deckfall/net/Leaving.java
@@ -14,7 +14,7 @@
 final class Leaving {
     private static final int MOST = 4096;
 
-    private record Mark(HostState state, double startedMs) { }
+    private record Mark(HostState state, double startedMs) {}
 
     private final Map<String, Double> startedMs = bounded();
     private final Map<String, Mark> marks = bounded();
@@ -31,7 +31,9 @@
         for (Entry e : entries) {
             String id = e.host().id();
             Mark mark = marks.get(id);
-            boolean stale = older && mark != null && e.host().startedMs() <= mark.startedMs()
+            boolean stale = older
+                    && mark != null
+                    && e.host().startedMs() <= mark.startedMs()
                     && e.host().state().compareTo(mark.state()) < 0;
             HostState state = stale ? mark.state() : e.host().state();
             believed.add(stale ? e.in(state) : e);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -121,7 +121,9 @@
                 new Operator(config.operator(), node.operations()).start(); // it says no until clients are taken
             }
             if (inherited != null && System.getenv("TMPDIR") != null) {
-                node.beside(new Beside(Path.of(System.getenv("TMPDIR")), ProcessHandle.current().pid()));
+                node.beside(new Beside(
+                        Path.of(System.getenv("TMPDIR")),
+                        ProcessHandle.current().pid()));
             }
             times.ended("operator and siblings");
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
@@ -167,11 +169,13 @@
             return;
         }
         rereading = true;
-        Thread reader = new Thread(() -> {
-            log("discovery can't be had");
-            reload();
-            rereading = false;
-        }, "reload");
+        Thread reader = new Thread(
+                () -> {
+                    log("discovery can't be had");
+                    reload();
+                    rereading = false;
+                },
+                "reload");
         reader.setDaemon(true);
         reader.start();
     }
@@ -186,17 +190,19 @@
     private void start(ServerSocketChannel inherited, StartTimes times) throws IOException {
         try {
             loop.submit(() -> {
-                tell((now, m) -> m.start(now, config.settings()));
-                tell((now, m) -> m.recall(now, recalled));
-                peers.start();
-                if (config.known().hasNonNull(Discovery.LIST)) {
-                    hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
-                }
-                discovery.start();
-                counter.start();
-                loop.scheduleAtFixedRate(this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
-                loop.scheduleAtFixedRate(this::countHosts, SURVEY_MS, SURVEY_MS, TimeUnit.MILLISECONDS);
-            }).sync();
+                        tell((now, m) -> m.start(now, config.settings()));
+                        tell((now, m) -> m.recall(now, recalled));
+                        peers.start();
+                        if (config.known().hasNonNull(Discovery.LIST)) {
+                            hostsTold(ListKind.CACHED, Discovery.entries(config.known()));
+                        }
+                        discovery.start();
+                        counter.start();
+                        loop.scheduleAtFixedRate(
+                                this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
+                        loop.scheduleAtFixedRate(this::countHosts, SURVEY_MS, SURVEY_MS, TimeUnit.MILLISECONDS);
+                    })
+                    .sync();
             times.ended("module and known list"); // the counter is called, and not waited for
             if (!rehearsing) { // a rehearsal's discovery is the node itself
                 discovery.awaitList();
@@ -229,10 +235,10 @@
             }
 
             @Override
-            public void flush() { }
+            public void flush() {}
 
             @Override
-            public void close() { }
+            public void close() {}
         });
     }
 
@@ -299,9 +305,15 @@
             List<Beside.Note> others = beside.others(clock.now());
             boolean takes = serving && !ending;
             boolean asked = takes && others.stream().anyMatch(n -> !n.serving()); // by one that starts
-            List<Remembered> memory = asked ? loop.submit(() -> module.remember(clock.now())).get() : List.of();
-            beside.write(new Beside.Note(ProcessHandle.current().pid(), clock.now(), takes, clients.connections(),
-                    hosts.connections(), memory));
+            List<Remembered> memory =
+                    asked ? loop.submit(() -> module.remember(clock.now())).get() : List.of();
+            beside.write(new Beside.Note(
+                    ProcessHandle.current().pid(),
+                    clock.now(),
+                    takes,
+                    clients.connections(),
+                    hosts.connections(),
+                    memory));
             othersClients = others.stream().mapToInt(Beside.Note::clients).sum();
             othersHosts = others.stream().mapToInt(Beside.Note::hosts).sum();
             int count = 1 + (int) others.stream().filter(Beside.Note::serving).count();
@@ -334,7 +346,9 @@
     /** What a process that serves now remembers; it is shared out as soon as this one serves too. */
     private void recall() {
         if (beside != null) {
-            beside.others(clock.now()).stream().filter(Beside.Note::serving).findFirst()
+            beside.others(clock.now()).stream()
+                    .filter(Beside.Note::serving)
+                    .findFirst()
                     .ifPresent(n -> recalled = n.memory());
             log("recalled " + recalled.size() + " customers of another process");
         }
@@ -412,8 +426,16 @@
     }
 
     private static Request due(Request r, String id, double laterMs) {
-        return new Request(id, r.deadlineMs() + laterMs, r.retry(), r.requestClass(), r.customer(), r.plan(),
-                r.units(), r.first(), r.spread());
+        return new Request(
+                id,
+                r.deadlineMs() + laterMs,
+                r.retry(),
+                r.requestClass(),
+                r.customer(),
+                r.plan(),
+                r.units(),
+                r.first(),
+                r.spread());
     }
 
     private void guard(OpenRequest r) {
@@ -513,8 +535,8 @@
         double took = clock.now() - a.sentAt;
         double[] report = response == null ? NO_REPORT : hosts.report(response);
         int usedPct = response == null ? 0 : hosts.usedPct(response);
-        tell((now, m) -> m.attemptEnded(now,
-                new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, usedPct, 0, report)));
+        tell((now, m) -> m.attemptEnded(
+                now, new AttemptResult(r.request.id(), a.number, a.host, outcome, took, closed, usedPct, 0, report)));
         forgetIfOver(r);
     }
 
@@ -594,7 +616,10 @@
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
         r.out++;
-        if (over || r.closed() || now >= r.deadlineMs || r.message.spent()
+        if (over
+                || r.closed()
+                || now >= r.deadlineMs
+                || r.message.spent()
                 || a.number >= config.settings().limits().maxAttempts()) {
             attemptEnded(a, Outcome.MOOT, null);
             return;
@@ -666,7 +691,7 @@
 
     /** Discovery is always watched. */
     @Override
-    public void watchHosts() { }
+    public void watchHosts() {}
 
     // ---- the end
 
@@ -690,7 +715,9 @@
         ending = true;
         drain.begin();
         double latest = clock.now() + Drain.acceptByMs(config.settings());
-        loop.schedule(() -> stopAccepting(latest), clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS + POLL_MS,
+        loop.schedule(
+                () -> stopAccepting(latest),
+                clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS + POLL_MS,
                 TimeUnit.MILLISECONDS); // after the first sweep, which is due at the same time
         loop.schedule(this::answerAll, Drain.answerByMs(config.settings()), TimeUnit.MILLISECONDS);
     }
@@ -703,8 +730,10 @@
         }
         for (OpenRequest r : List.copyOf(open.values())) {
             if (!r.closed()) { // still held: what was never sent is refused, as coming again does no harm
-                answer(r, r.attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                        : HttpResponseStatus.BAD_GATEWAY, 0);
+                answer(
+                        r,
+                        r.attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
+                        0);
             }
         }
         clients.closeAll();
@@ -739,7 +768,9 @@
 
     /** The port of the listener, where the configuration left it to the system; 0 before clients are let in. */
     int port() {
-        return clients.listener() == null ? 0 : ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
+        return clients.listener() == null
+                ? 0
+                : ((java.net.InetSocketAddress) clients.listener().localAddress()).getPort();
     }
 
     /** Ends everything at once and answers nothing. */
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -22,9 +22,21 @@
 import java.util.TreeMap;
 
 /** What this api gateway was told at its start; anything missing or malformed is a {@link BadConfig}. */
-record NodeConfig(InetSocketAddress listen, InetSocketAddress operator, InetSocketAddress discovery, InetSocketAddress counter,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, int sockets, JsonNode known, Settings settings,
-        double connectTimeoutMs, double idleMs, double counterTimeoutMs, int maxOpen) {
+record NodeConfig(
+        InetSocketAddress listen,
+        InetSocketAddress operator,
+        InetSocketAddress discovery,
+        InetSocketAddress counter,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        int sockets,
+        JsonNode known,
+        Settings settings,
+        double connectTimeoutMs,
+        double idleMs,
+        double counterTimeoutMs,
+        int maxOpen) {
     private static final int PORT_MAX = 65_535;
     private static final int HEX = 16;
     private static final String OPERATOR = "operator";
@@ -54,7 +66,8 @@
             }
             return of(root);
         } catch (IOException e) {
-            throw new BadConfig("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
+            throw new BadConfig("can't read " + file + ": "
+                    + e.getMessage().lines().findFirst().orElse(""));
         } catch (WireFault | IllegalArgumentException e) {
             throw new BadConfig(file + ": " + e.getMessage());
         }
@@ -74,12 +87,17 @@
             peers.add(address(peer.asText()));
         }
         boolean mail = settings.limits().peers() && root.hasNonNull("peer_listen");
-        return new NodeConfig(address(text(root, "listen")),
-                root.hasNonNull(OPERATOR) ? address(text(root, OPERATOR)) : null, address(text(root, "discovery")),
+        return new NodeConfig(
+                address(text(root, "listen")),
+                root.hasNonNull(OPERATOR) ? address(text(root, OPERATOR)) : null,
+                address(text(root, "discovery")),
                 settings.sharing().counter() && root.hasNonNull("counter") ? address(text(root, "counter")) : null,
-                mail ? address(text(root, "peer_listen")) : null, List.copyOf(peers),
+                mail ? address(text(root, "peer_listen")) : null,
+                List.copyOf(peers),
                 root.hasNonNull("peers_all") ? address(text(root, "peers_all")) : null,
-                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS), root.path("known"), settings,
+                root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS),
+                root.path("known"),
+                settings,
                 settings.limits().connectTimeoutMs(),
                 fields.number("limits.conn_idle_ms", DEFAULT_IDLE_MS),
                 fields.number("specifics.counter_timeout_ms", DEFAULT_COUNTER_MS),
@@ -98,12 +116,31 @@
 
     /** The same settings for a node at {@code at} that is its own discovery and only host. */
     NodeConfig rehearsal(InetSocketAddress at) {
-        ObjectNode self = JsonNodeFactory.instance.objectNode().put("id", "self").put("state", "ready")
+        ObjectNode self = JsonNodeFactory.instance
+                .objectNode()
+                .put("id", "self")
+                .put("state", "ready")
                 .put("addr", at.getAddress().getHostAddress() + ':' + at.getPort());
-        JsonNode list = JsonNodeFactory.instance.objectNode().put("version", 1).put("full", true)
+        JsonNode list = JsonNodeFactory.instance
+                .objectNode()
+                .put("version", 1)
+                .put("full", true)
                 .set(Discovery.LIST, JsonNodeFactory.instance.arrayNode().add(self));
-        return new NodeConfig(at, null, at, null, null, List.of(), null, sockets, list, settings, connectTimeoutMs,
-                idleMs, counterTimeoutMs, maxOpen);
+        return new NodeConfig(
+                at,
+                null,
+                at,
+                null,
+                null,
+                List.of(),
+                null,
+                sockets,
+                list,
+                settings,
+                connectTimeoutMs,
+                idleMs,
+                counterTimeoutMs,
+                maxOpen);
     }
 
     /** Nested settings under the names that the simulator's wire gives them. */
--- a/src/main/java/deckfall/net/Operator.java
+++ b/src/main/java/deckfall/net/Operator.java
@@ -58,14 +58,20 @@
 
     void start() throws IOException {
         try {
-            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            listener = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
                     .childHandler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel ch) {
                             ch.pipeline().addLast(new LineBasedFrameDecoder(MAX_LINE, true, true), new Caller());
                         }
-                    }).bind(address).sync().channel();
+                    })
+                    .bind(address)
+                    .sync()
+                    .channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -113,10 +119,14 @@
                 longest.close();
             }
             callers.add(ctx.channel());
-            patience = ctx.executor().schedule(() -> {
-                end(ctx, NO + "no whole line in time");
-                ctx.close(); // also where the answer is not being read
-            }, PATIENCE_MS, TimeUnit.MILLISECONDS);
+            patience = ctx.executor()
+                    .schedule(
+                            () -> {
+                                end(ctx, NO + "no whole line in time");
+                                ctx.close(); // also where the answer is not being read
+                            },
+                            PATIENCE_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -44,9 +44,13 @@
 
     private void bind() {
         // One byte more than a message may have shows which ones are too long.
-        channel = new Bootstrap().group(node.loop).channel(NioDatagramChannel.class).handler(this)
+        channel = new Bootstrap()
+                .group(node.loop)
+                .channel(NioDatagramChannel.class)
+                .handler(this)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES + 1))
-                .bind(node.config.peerListen()).addListener(f -> {
+                .bind(node.config.peerListen())
+                .addListener(f -> {
                     if (!f.isSuccess()) {
                         if (!failing) { // one line for a spell of failures
                             Node.log("no messages from peers yet: " + f.cause().getMessage());
@@ -54,12 +58,16 @@
                         failing = true;
                         node.loop.schedule(this::bind, AGAIN_MS, TimeUnit.MILLISECONDS);
                     }
-                }).channel();
+                })
+                .channel();
     }
 
     void send(int peer, byte[] data) {
-        InetSocketAddress to = peer == EVERYONE ? node.config.peersAll()
-                : peer >= 0 && peer < node.config.peers().size() ? node.config.peers().get(peer) : null;
+        InetSocketAddress to = peer == EVERYONE
+                ? node.config.peersAll()
+                : peer >= 0 && peer < node.config.peers().size()
+                        ? node.config.peers().get(peer)
+                        : null;
         if (channel == null || to == null || data.length > MAX_BYTES) {
             return;
         }
@@ -77,5 +85,5 @@
 
     /** A lost message is normal, and so is an error that an earlier one brought back. */
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
 }
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -44,7 +44,7 @@
             + "Idempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s";
     private static final String BODY = "a body of some length";
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /** For the build: returns when all has been gone through. */
     public static void run() throws IOException {
@@ -100,7 +100,8 @@
         try {
             node.start();
             long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMs);
-            try (Socket socket = new Socket(config.listen().getAddress(), config.listen().getPort())) {
+            try (Socket socket =
+                    new Socket(config.listen().getAddress(), config.listen().getPort())) {
                 socket.setSoTimeout(PATIENCE_MS);
                 socket.setTcpNoDelay(true);
                 for (; asked < WARM_REQUESTS && System.nanoTime() < end; asked++) {
@@ -118,9 +119,16 @@
         RequestClass c = settings.classes().get(i % settings.classes().size());
         boolean safe = c.effect() == Effect.REPEATABLE;
         String body = safe ? "" : BODY;
-        return REQUEST.formatted(safe ? "GET" : "POST", c.name(), i, i,
-                planName(settings, i / 2), i % 64, 1 + i % settings.gateways(),
-                body.length(), body);
+        return REQUEST.formatted(
+                safe ? "GET" : "POST",
+                c.name(),
+                i,
+                i,
+                planName(settings, i / 2),
+                i % 64,
+                1 + i % settings.gateways(),
+                body.length(),
+                body);
     }
 
     private static String planName(Settings settings, int i) {
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -12,7 +12,17 @@
     private static final int LINES = 5;
 
     /** Something counted beside the ends of attempts. */
-    enum Count { TAKEN, SERVED, REFUSED, FAILED, CLIENT_LEFT, CUT_OFF, UNREADABLE, SURPLUS, CLOSED_EARLY }
+    enum Count {
+        TAKEN,
+        SERVED,
+        REFUSED,
+        FAILED,
+        CLIENT_LEFT,
+        CUT_OFF,
+        UNREADABLE,
+        SURPLUS,
+        CLOSED_EARLY
+    }
 
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
     private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
--- a/src/main/java/deckfall/scale/Chance.java
+++ b/src/main/java/deckfall/scale/Chance.java
@@ -8,7 +8,7 @@
     private static final double UNIT = 0x1.0p-53;
     private static final int UNIT_SHIFT = 11;
 
-    private Chance() { }
+    private Chance() {}
 
     static long mixed(long a, long b) {
         long h = a * 0x9E3779B97F4A7C15L + b;
--- a/src/main/java/deckfall/scale/Clients.java
+++ b/src/main/java/deckfall/scale/Clients.java
@@ -102,7 +102,14 @@
 
     private void send(long number, int customer, int units, int requestClass, int earlier, int gateway) {
         double now = queue.now();
-        Try t = new Try(number, customer, units, requestClass, earlier, now, now + options.deadlineMs,
+        Try t = new Try(
+                number,
+                customer,
+                units,
+                requestClass,
+                earlier,
+                now,
+                now + options.deadlineMs,
                 now >= options.warmUpMs());
         t.gateway = gateway;
         front.accept(t);
--- a/src/main/java/deckfall/scale/CounterListener.java
+++ b/src/main/java/deckfall/scale/CounterListener.java
@@ -63,7 +63,12 @@
             answer(ctx, slot, "+OK\r\n");
             return;
         }
-        fleet.call(gateway, words.get(1), Double.parseDouble(words.get(2)), Double.parseDouble(words.get(3)), EVER_MS,
+        fleet.call(
+                gateway,
+                words.get(1),
+                Double.parseDouble(words.get(2)),
+                Double.parseDouble(words.get(3)),
+                EVER_MS,
                 (outcome, total) -> answer(ctx, slot, outcome == Outcome.OK ? bulk(total) : "-BUSY\r\n"));
     }
 
--- a/src/main/java/deckfall/scale/CounterStandIn.java
+++ b/src/main/java/deckfall/scale/CounterStandIn.java
@@ -13,7 +13,11 @@
     static final double LONGEST_LIFE_MS = 60_000;
     private static final double SWEEP_MS = 10_000;
 
-    enum Mode { SERVING, SILENT, REFUSING }
+    enum Mode {
+        SERVING,
+        SILENT,
+        REFUSING
+    }
 
     private static final class Total {
         double sum;
@@ -34,8 +38,7 @@
     private long mostServedInSecond;
     private long second;
 
-    CounterStandIn(EventQueue queue, double callsPerSecond, int parts, double roundTripMs,
-            double longestWaitMs) {
+    CounterStandIn(EventQueue queue, double callsPerSecond, int parts, double roundTripMs, double longestWaitMs) {
         this.queue = queue;
         this.serviceMs = 1000 * parts / callsPerSecond;
         this.wayMs = roundTripMs / 2;
@@ -45,7 +48,12 @@
     }
 
     /** Tells the end once: the answer, or {@code TIMEOUT} when its time is up; the amount may be added later still. */
-    void call(String name, double amount, double lifeMs, double timeoutMs, boolean reachable,
+    void call(
+            String name,
+            double amount,
+            double lifeMs,
+            double timeoutMs,
+            boolean reachable,
             ObjDoubleConsumer<Outcome> end) {
         double sentAt = queue.now();
         if (mode == Mode.REFUSING && reachable) {
--- a/src/main/java/deckfall/scale/Customers.java
+++ b/src/main/java/deckfall/scale/Customers.java
@@ -12,6 +12,7 @@
 final class Customers {
     /** The mean of the shares below, by which the mix of plans is found. */
     private static final double MEAN_SHARE = 0.8;
+
     private static final double FULL = 0.2; // shares of the customers
     private static final double HEAVY = 0.08;
     private static final double SPIKY = 0.17;
@@ -21,7 +22,10 @@
 
     /** What a customer asks for, as share of its rate. */
     enum Kind {
-        CALM(0.15, 0.5), FULL(0.9, 1), HEAVY(2.3, 4), SPIKY(SPIKY_SHARE, SPIKY_SHARE);
+        CALM(0.15, 0.5),
+        FULL(0.9, 1),
+        HEAVY(2.3, 4),
+        SPIKY(SPIKY_SHARE, SPIKY_SHARE);
 
         private final double least;
         private final double most;
@@ -54,8 +58,17 @@
         double tilt = tilt(wantedRate);
         double scale = Math.abs(tilt) < TILT_MOST ? 1 : wantedRate / meanRate(tilt);
         for (Plan p : PLANS) {
-            plans.add(new Plan(p.name(), p.rate() * scale, p.burst() * scale, o.openLimit, p.price(), p.overWorth(),
-                    p.overCost(), 0, 0, 0));
+            plans.add(new Plan(
+                    p.name(),
+                    p.rate() * scale,
+                    p.burst() * scale,
+                    o.openLimit,
+                    p.price(),
+                    p.overWorth(),
+                    p.overCost(),
+                    0,
+                    0,
+                    0));
         }
         planOf = new byte[count];
         kindOf = new Kind[count];
--- a/src/main/java/deckfall/scale/DiscoveryAgent.java
+++ b/src/main/java/deckfall/scale/DiscoveryAgent.java
@@ -26,11 +26,10 @@
 
 /** The agent of discovery beside a real gateway: the whole list, and watches that wait for what is new. */
 @Sharable
-final class DiscoveryAgent extends SimpleChannelInboundHandler<FullHttpRequest>
-        implements DiscoveryStandIn.Listener {
+final class DiscoveryAgent extends SimpleChannelInboundHandler<FullHttpRequest> implements DiscoveryStandIn.Listener {
     private static final long MOST_HOLD_MS = 60_000;
 
-    private record Watch(ChannelHandlerContext ctx) { }
+    private record Watch(ChannelHandlerContext ctx) {}
 
     private final Function<String, String> addressOf; // a server
     private final Traffic traffic;
@@ -76,8 +75,11 @@
         } else {
             Watch begun = new Watch(ctx);
             watch = begun;
-            ctx.executor().schedule(() -> answerWatch(begun, List.of()),
-                    Math.min(MOST_HOLD_MS, number(query, "hold_ms", 0)), TimeUnit.MILLISECONDS);
+            ctx.executor()
+                    .schedule(
+                            () -> answerWatch(begun, List.of()),
+                            Math.min(MOST_HOLD_MS, number(query, "hold_ms", 0)),
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -96,14 +98,15 @@
     private void answer(ChannelHandlerContext ctx, boolean full, Collection<Host> told) {
         traffic.message();
         byte[] body = list(full, told).toString().getBytes(StandardCharsets.UTF_8);
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                Unpooled.wrappedBuffer(body));
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         ctx.writeAndFlush(response);
     }
 
     ObjectNode list(boolean full, Collection<Host> told) {
-        ObjectNode list = JsonNodeFactory.instance.objectNode().put("version", version).put("full", full);
+        ObjectNode list =
+                JsonNodeFactory.instance.objectNode().put("version", version).put("full", full);
         ArrayNode servers = list.putArray("servers");
         for (Host h : told) {
             String state = switch (h.state()) {
@@ -111,8 +114,14 @@
                 case DRAINING -> "draining";
                 case GONE -> "gone";
             };
-            servers.addObject().put("id", h.id()).put("addr", addressOf.apply(h.id())).put("zone", h.zone())
-                    .put("kind", h.kind()).put("cell", h.cell()).put("state", state).put("weight", h.rating())
+            servers.addObject()
+                    .put("id", h.id())
+                    .put("addr", addressOf.apply(h.id()))
+                    .put("zone", h.zone())
+                    .put("kind", h.kind())
+                    .put("cell", h.cell())
+                    .put("state", state)
+                    .put("weight", h.rating())
                     .put("started_ms", 0);
         }
         return list;
--- a/src/main/java/deckfall/scale/Fault.java
+++ b/src/main/java/deckfall/scale/Fault.java
@@ -10,9 +10,19 @@
 
     /** What may go wrong, and the size where none is given: servers, gateways, racks, a zone, or times as slow. */
     enum Kind {
-        SERVER_REPLACED(20), SERVER_HANGING(1), GATEWAY_REPLACED(1), GATEWAY_KILLED(1), RACK(1), ZONE(-1),
-        REGION_CUT(0), COUNTER_SILENT(0), COUNTER_REFUSING(0), COUNTER_SLOW(4), COUNTER_EMPTY(0),
-        DISCOVERY_DOWN(0), RELEASE(10);
+        SERVER_REPLACED(20),
+        SERVER_HANGING(1),
+        GATEWAY_REPLACED(1),
+        GATEWAY_KILLED(1),
+        RACK(1),
+        ZONE(-1),
+        REGION_CUT(0),
+        COUNTER_SILENT(0),
+        COUNTER_REFUSING(0),
+        COUNTER_SLOW(4),
+        COUNTER_EMPTY(0),
+        DISCOVERY_DOWN(0),
+        RELEASE(10);
 
         private final double usual;
 
@@ -52,7 +62,10 @@
                 throw new TypeConversionException("'" + text + "' is not AT:KIND:LENGTH[:SIZE]");
             }
             Kind kind = kind(parts[1]);
-            return new Fault(number(parts[0], MOST_SECONDS), kind, number(parts[2], MOST_SECONDS),
+            return new Fault(
+                    number(parts[0], MOST_SECONDS),
+                    kind,
+                    number(parts[2], MOST_SECONDS),
                     parts.length == 4 ? number(parts[3], MOST) : kind.usual);
         }
 
--- a/src/main/java/deckfall/scale/Figures.java
+++ b/src/main/java/deckfall/scale/Figures.java
@@ -9,10 +9,20 @@
 /** What is counted in a run. All but the answers to all tries is of the measured time alone. */
 final class Figures {
     /** How a try ended; {@code UNANSWERED} by the module until its client's time was up, which is a defect. */
-    enum End { SERVED, REFUSED, FAILED, UNANSWERED, NO_GATEWAY }
+    enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        UNANSWERED,
+        NO_GATEWAY
+    }
 
     /** What a counter call is for. */
-    enum Call { READ, REQUESTS_WAIT, BACKGROUND }
+    enum Call {
+        READ,
+        REQUESTS_WAIT,
+        BACKGROUND
+    }
 
     private static final long LONGEST_HOLD_US = 3_600_000_000L;
     private static final int DIGITS = 3;
--- a/src/main/java/deckfall/scale/Fleet.java
+++ b/src/main/java/deckfall/scale/Fleet.java
@@ -52,15 +52,29 @@
         quotas = new Quotas(customers, figures.seconds);
         zones = new Zones(options.zones, options.regions, options.nearMs, options.regionMs);
         discovery = new DiscoveryStandIn(queue, options);
-        counter = options.counterRate <= 0 ? null : new CounterStandIn(queue, options.counterRate,
-                options.counterParts, options.counterMs, options.counterLine * options.counterTimeoutMs);
+        counter = options.counterRate <= 0
+                ? null
+                : new CounterStandIn(
+                        queue,
+                        options.counterRate,
+                        options.counterParts,
+                        options.counterMs,
+                        options.counterLine * options.counterTimeoutMs);
         meter = new Meter(customers, options.meterPeriodMs, options.meterLateMs);
         clients = new Clients(queue, options, customers, this::arrive);
         gateways = new FleetGateway[options.gateways];
         front = new Front(this);
         for (int i = 0; i < options.classes; i++) {
-            classes.add(new RequestClass("c" + i, i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE, Scope.ALL,
-                    0, options.goalMs, options.deadlineMs, 1, 0, false));
+            classes.add(new RequestClass(
+                    "c" + i,
+                    i % ONCE_EVERY == 1 ? Effect.ONCE : Effect.REPEATABLE,
+                    Scope.ALL,
+                    0,
+                    options.goalMs,
+                    options.deadlineMs,
+                    1,
+                    0,
+                    false));
         }
         for (int i = 0; i < options.servers; i++) {
             discovery.list(addServer(zones.ofNumber(i), rack(i), 0).listed());
@@ -97,12 +111,28 @@
     Settings settings(int number, String zone) {
         List<Plan> plans = admission.replacesModule() ? customers.plansWithoutQuotas() : customers.plans();
         boolean metered = options.meterLateMs > 0;
-        return new Settings(Chance.mixed(options.seed, number), number, options.gateways, zone, false,
-                List.copyOf(classes), plans, List.of(),
+        return new Settings(
+                Chance.mixed(options.seed, number),
+                number,
+                options.gateways,
+                zone,
+                false,
+                List.copyOf(classes),
+                plans,
+                List.of(),
                 new Limits(MOST_ATTEMPTS, false, true, false, false, true, MOST_RETRY_AFTER_MS, CONNECT_MS),
                 new Rules(8, 500, 2, 1000, options.coldFrom, options.warmMs, 0),
-                new Sharing(counter != null, 0.01, options.counterTimeoutMs, metered ? options.meterPeriodMs : 0, false,
-                        options.maxUnits, 0, 0, 0, 0));
+                new Sharing(
+                        counter != null,
+                        0.01,
+                        options.counterTimeoutMs,
+                        metered ? options.meterPeriodMs : 0,
+                        false,
+                        options.maxUnits,
+                        0,
+                        0,
+                        0,
+                        0));
     }
 
     void startClients(double until) {
@@ -124,8 +154,11 @@
             ended(t, Figures.End.NO_GATEWAY, 0);
             return;
         }
-        admission.refusal(t).ifPresentOrElse(
-                retryAfterMs -> ended(t, Figures.End.REFUSED, retryAfterMs), () -> gateways[t.gateway].request(t));
+        admission
+                .refusal(t)
+                .ifPresentOrElse(
+                        retryAfterMs -> ended(t, Figures.End.REFUSED, retryAfterMs),
+                        () -> gateways[t.gateway].request(t));
     }
 
     /** Who decides on quotas in place of the gateways; before any of them starts. */
@@ -185,7 +218,12 @@
         });
     }
 
-    void call(FleetGateway from, String name, double amount, double lifeMs, double timeoutMs,
+    void call(
+            FleetGateway from,
+            String name,
+            double amount,
+            double lifeMs,
+            double timeoutMs,
             ObjDoubleConsumer<Outcome> end) {
         counter.call(name, amount, lifeMs, timeoutMs, zones.reach(from.zone, SERVICES_ZONE), end);
     }
--- a/src/main/java/deckfall/scale/GatewayProcess.java
+++ b/src/main/java/deckfall/scale/GatewayProcess.java
@@ -19,7 +19,8 @@
 
     GatewayProcess(String run, Path root, Path folder, String name, String listen, String discovery)
             throws IOException {
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run)
+                .directory(root.toFile())
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(folder.resolve("log").toFile());
         b.environment().put("NODE_NAME", name);
@@ -36,14 +37,22 @@
     }
 
     double processorSeconds() {
-        return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e9;
+        return process.toHandle()
+                        .info()
+                        .totalCpuDuration()
+                        .orElse(Duration.ZERO)
+                        .toNanos()
+                / 1e9;
     }
 
     double residentMegabytes() {
         try {
             for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
                 if (line.startsWith(RESIDENT)) {
-                    return Double.parseDouble(line.substring(RESIDENT.length()).replace("kB", "").trim()) / 1024;
+                    return Double.parseDouble(line.substring(RESIDENT.length())
+                                    .replace("kB", "")
+                                    .trim())
+                            / 1024;
                 }
             }
         } catch (IOException e) {
--- a/src/main/java/deckfall/scale/HollowGateway.java
+++ b/src/main/java/deckfall/scale/HollowGateway.java
@@ -25,9 +25,13 @@
     private static final double STUCK_MS = 5000; // after which that connection is given up
     private static final double[] NO_REPORT = new double[0];
 
-    private enum Event { REQUEST, COUNTED, OTHER }
+    private enum Event {
+        REQUEST,
+        COUNTED,
+        OTHER
+    }
 
-    private record Count(String name, double amount, double lifeMs) { }
+    private record Count(String name, double amount, double lifeMs) {}
 
     private final Fleet fleet;
     private final Settings settings;
@@ -105,9 +109,16 @@
         open.put(t.id, t);
         undecided++;
         Customers customers = fleet.customers;
-        Request r = new Request(t.id, t.deadlineMs, false, settings.classes().get(t.requestClass).name(),
-                customers.idOf(t.customer), customers.plan(t.customer).name(), t.units,
-                customers.first(t.customer), customers.spread());
+        Request r = new Request(
+                t.id,
+                t.deadlineMs,
+                false,
+                settings.classes().get(t.requestClass).name(),
+                customers.idOf(t.customer),
+                customers.plan(t.customer).name(),
+                t.units,
+                customers.first(t.customer),
+                customers.spread());
         fleet.queue.at(t.deadlineMs, () -> deadline(t));
         tell(Event.REQUEST, t, () -> module.request(now(), r));
     }
@@ -135,8 +146,8 @@
         if (closes) {
             close(t, Figures.End.SERVED, 0);
         }
-        AttemptResult r = new AttemptResult(t.id, a.number, a.host, outcome, now() - a.sentAt, closes, usedPct, 0,
-                NO_REPORT);
+        AttemptResult r =
+                new AttemptResult(t.id, a.number, a.host, outcome, now() - a.sentAt, closes, usedPct, 0, NO_REPORT);
         tell(Event.OTHER, null, () -> module.attemptEnded(now(), r));
         forgetIfOver(t);
     }
@@ -268,5 +279,5 @@
     }
 
     @Override
-    public void watchHosts() { }
+    public void watchHosts() {}
 }
--- a/src/main/java/deckfall/scale/HollowRun.java
+++ b/src/main/java/deckfall/scale/HollowRun.java
@@ -15,7 +15,7 @@
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     /** What came of a run; the costs are those of the machine that it was on and differ from run to run. */
-    record Result(Fleet fleet, Map<String, Object> costs) { }
+    record Result(Fleet fleet, Map<String, Object> costs) {}
 
     private final HollowOptions options;
     private final PrintStream progress;
@@ -83,8 +83,11 @@
             long now = System.nanoTime();
             if (now - toldNanos > PROGRESS_NANOS) {
                 toldNanos = now;
-                progress.printf("scale: at %.1f of %.1f s, %d tries, %.0f s gone%n", fleet.queue.now() / 1000,
-                        options.endMs() / 1000 + options.idleSeconds, fleet.figures.allTries,
+                progress.printf(
+                        "scale: at %.1f of %.1f s, %d tries, %.0f s gone%n",
+                        fleet.queue.now() / 1000,
+                        options.endMs() / 1000 + options.idleSeconds,
+                        fleet.figures.allTries,
                         (now - startedNanos) / 1e9);
             }
         }
--- a/src/main/java/deckfall/scale/HttpPool.java
+++ b/src/main/java/deckfall/scale/HttpPool.java
@@ -38,14 +38,19 @@
             return;
         }
         Connection fresh = new Connection();
-        new Bootstrap().group(group).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         fresh.channel = ch;
                         ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), fresh);
                     }
-                }).connect(address).addListener(f -> {
+                })
+                .connect(address)
+                .addListener(f -> {
                     if (f.isSuccess()) {
                         fresh.send(request, end);
                     } else {
--- a/src/main/java/deckfall/scale/Listeners.java
+++ b/src/main/java/deckfall/scale/Listeners.java
@@ -16,11 +16,13 @@
 final class Listeners {
     private static final int WAITING = 256; // connections not taken up yet
 
-    private Listeners() { }
+    private Listeners() {}
 
     /** The address; called from outside the thread of the sockets. */
     static InetSocketAddress open(EventLoopGroup group, Supplier<ChannelHandler[]> handlers) {
-        Channel listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        Channel listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, WAITING)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -28,7 +30,10 @@
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(handlers.get());
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
         return (InetSocketAddress) listener.localAddress();
     }
 
--- a/src/main/java/deckfall/scale/RealGateway.java
+++ b/src/main/java/deckfall/scale/RealGateway.java
@@ -44,8 +44,8 @@
     private final Map<String, Try> directs = new HashMap<>();
     private final Map<Try.Attempt, ChannelHandlerContext> exchanges = new HashMap<>();
 
-    RealGateway(Fleet fleet, Pace pace, Settings settings, int zone, PairedTimes times, HttpPool clients,
-            HttpPool direct) {
+    RealGateway(
+            Fleet fleet, Pace pace, Settings settings, int zone, PairedTimes times, HttpPool clients, HttpPool direct) {
         super(settings.me(), zone);
         this.fleet = fleet;
         this.pace = pace;
@@ -61,7 +61,7 @@
     }
 
     @Override
-    void die() { }
+    void die() {}
 
     @Override
     long busyNanos() {
@@ -83,8 +83,8 @@
         directs.put(DIRECT + t.id, t);
         long directFrom = System.nanoTime();
         direct.send(request(t, DIRECT + t.id), response -> {
-            pair.directMs = response != null && response.status().code() == OK
-                    ? (System.nanoTime() - directFrom) / 1e6 : -1;
+            pair.directMs =
+                    response != null && response.status().code() == OK ? (System.nanoTime() - directFrom) / 1e6 : -1;
             directs.remove(DIRECT + t.id);
             note(t, pair);
         });
@@ -101,15 +101,21 @@
         Customers customers = fleet.customers;
         boolean safe = settings.classes().get(t.requestClass).effect() == Effect.REPEATABLE;
         byte[] body = safe ? new byte[0] : BODY;
-        FullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST,
-                "/" + settings.classes().get(t.requestClass).name(), Unpooled.wrappedBuffer(body));
-        r.headers().set(HttpHeaderNames.HOST, "backend.local").set(SeatListener.TRACE, id)
+        FullHttpRequest r = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                safe ? HttpMethod.GET : HttpMethod.POST,
+                "/" + settings.classes().get(t.requestClass).name(),
+                Unpooled.wrappedBuffer(body));
+        r.headers()
+                .set(HttpHeaderNames.HOST, "backend.local")
+                .set(SeatListener.TRACE, id)
                 .set("X-Plan", customers.plan(t.customer).name())
                 .set("X-Customer", String.format("%016x", customers.idOf(t.customer)))
                 .set("X-Expires-In-Ms", (long) fleet.options.deadlineMs)
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
-                .set("X-Quota", "units=" + t.units + ",spread=" + customers.spread() + ",first="
-                        + customers.first(t.customer));
+                .set(
+                        "X-Quota",
+                        "units=" + t.units + ",spread=" + customers.spread() + ",first=" + customers.first(t.customer));
         return r;
     }
 
@@ -143,9 +149,17 @@
     public void came(String id, SeatServer server, ChannelHandlerContext from) {
         Try twin = directs.get(id);
         if (twin != null) {
-            Try alone = new Try(twin.number, twin.customer, twin.units, twin.requestClass, 0, twin.arrivedMs,
-                    twin.deadlineMs, false);
-            server.take(new Try.Attempt(this, alone, server.id, fleet.queue.now()),
+            Try alone = new Try(
+                    twin.number,
+                    twin.customer,
+                    twin.units,
+                    twin.requestClass,
+                    0,
+                    twin.arrivedMs,
+                    twin.deadlineMs,
+                    false);
+            server.take(
+                    new Try.Attempt(this, alone, server.id, fleet.queue.now()),
                     outcome -> SeatListener.answer(from, outcome, 0));
             return;
         }
--- a/src/main/java/deckfall/scale/RealOptions.java
+++ b/src/main/java/deckfall/scale/RealOptions.java
@@ -10,8 +10,11 @@
 import picocli.CommandLine.Option;
 
 /** The arguments of a run with real processes: those of a hollow one, and what concerns the processes. */
-@Command(name = "real", description = "A few real gateways beside hollow ones, against the same stand-ins on sockets.",
-        sortOptions = false, mixinStandardHelpOptions = true)
+@Command(
+        name = "real",
+        description = "A few real gateways beside hollow ones, against the same stand-ins on sockets.",
+        sortOptions = false,
+        mixinStandardHelpOptions = true)
 final class RealOptions extends HollowOptions {
     private static final double USED = 0.05; // of the slots
     private static final int MOST_PROCESSES = 200;
@@ -22,15 +25,26 @@
 
     @Option(names = "--processes", defaultValue = "2", description = "of the gateways, real ones (${DEFAULT-VALUE})")
     int processes;
-    @Option(names = "--hollow", defaultValue = "-1",
+
+    @Option(
+            names = "--hollow",
+            defaultValue = "-1",
             description = "gateways that run hollow beside them; the rest is left out with its clients (-1: all)")
     private int hollow;
-    @Option(names = "--settle-seconds", defaultValue = "4",
+
+    @Option(
+            names = "--settle-seconds",
+            defaultValue = "4",
             description = "after all are ready: their compilers are done (${DEFAULT-VALUE})")
     double settleSeconds;
-    @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", paramLabel = "FILE",
+
+    @Option(
+            names = "--deploy",
+            defaultValue = "deploy/balancer.toml",
+            paramLabel = "FILE",
             description = "says how one is started, from its folder's parent (${DEFAULT-VALUE})")
     Path deploy;
+
     @Option(names = "--run", paramLabel = "COMMAND", description = "starts one, in place of the file's")
     String run;
 
@@ -64,7 +78,8 @@
 
     private static double totalMegabytes() {
         return ManagementFactory.getOperatingSystemMXBean() instanceof com.sun.management.OperatingSystemMXBean system
-                ? system.getTotalMemorySize() / (double) (1 << 20) : Double.MAX_VALUE;
+                ? system.getTotalMemorySize() / (double) (1 << 20)
+                : Double.MAX_VALUE;
     }
 
     private String deployed() {
@@ -81,7 +96,8 @@
 
     Path root() {
         Path folder = deploy.toAbsolutePath().getParent();
-        return run != null && !Files.exists(deploy) || folder.getParent() == null ? Path.of("").toAbsolutePath()
+        return run != null && !Files.exists(deploy) || folder.getParent() == null
+                ? Path.of("").toAbsolutePath()
                 : folder.getParent();
     }
 
--- a/src/main/java/deckfall/scale/RealRun.java
+++ b/src/main/java/deckfall/scale/RealRun.java
@@ -53,10 +53,10 @@
     private static final int OK = 200;
 
     /** What a real gateway is measured by. */
-    private record Member(RealGateway gateway, GatewayProcess process, Traffic traffic) { }
+    private record Member(RealGateway gateway, GatewayProcess process, Traffic traffic) {}
 
     /** One member at one moment. */
-    private record Sample(double processorSeconds, double residentMegabytes, long bytes, long messages) { }
+    private record Sample(double processorSeconds, double residentMegabytes, long bytes, long messages) {}
 
     private final RealOptions options;
     private final PrintStream progress;
@@ -114,8 +114,7 @@
     }
 
     private static ChannelHandler[] http(ChannelHandler... last) {
-        List<ChannelHandler> all = new ArrayList<>(List.of(new HttpServerCodec(),
-                new HttpObjectAggregator(MOST_BODY)));
+        List<ChannelHandler> all = new ArrayList<>(List.of(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY)));
         all.addAll(List.of(last));
         return all.toArray(new ChannelHandler[0]);
     }
@@ -140,7 +139,13 @@
         InetSocketAddress listen = freePort();
         SeatServer aside = onLoop(() -> fleet.addServer(zone, 0, 0)); // on no list: for the direct requests alone
         SeatListener direct = new SeatListener(aside, this::came);
-        RealGateway gateway = new RealGateway(fleet, pace, settings, zone, times, new HttpPool(group, listen),
+        RealGateway gateway = new RealGateway(
+                fleet,
+                pace,
+                settings,
+                zone,
+                times,
+                new HttpPool(group, listen),
                 new HttpPool(group, Listeners.open(group, () -> http(direct))));
         DiscoveryAgent agent = new DiscoveryAgent(id -> Listeners.text(addresses.get(id)), traffic);
         JsonNode known = onLoop(() -> {
@@ -151,12 +156,23 @@
             return agent.known();
         });
         InetSocketAddress discovery = Listeners.open(group, () -> with(traffic, http(agent)));
-        InetSocketAddress counter = Listeners.open(group, () -> new ChannelHandler[] {traffic,
-            new LineBasedFrameDecoder(LONGEST_LINE), new CounterListener(fleet, pace, gateway, traffic)});
+        InetSocketAddress counter = Listeners.open(group, () -> new ChannelHandler[] {
+            traffic, new LineBasedFrameDecoder(LONGEST_LINE), new CounterListener(fleet, pace, gateway, traffic)
+        });
         Path own = Files.createDirectory(folder.resolve("n" + number));
-        Files.writeString(own.resolve("config.json"), config(settings, listen, discovery, counter, known).toString());
-        members.add(new Member(gateway, new GatewayProcess(options.run, options.root(), own, "n" + number,
-                Listeners.text(listen), Listeners.text(discovery)), traffic));
+        Files.writeString(
+                own.resolve("config.json"),
+                config(settings, listen, discovery, counter, known).toString());
+        members.add(new Member(
+                gateway,
+                new GatewayProcess(
+                        options.run,
+                        options.root(),
+                        own,
+                        "n" + number,
+                        Listeners.text(listen),
+                        Listeners.text(discovery)),
+                traffic));
     }
 
     private static ChannelHandler[] with(ChannelHandler first, ChannelHandler... rest) {
@@ -169,35 +185,62 @@
         }
     }
 
-    private ObjectNode config(Settings s, InetSocketAddress listen, InetSocketAddress discovery,
-            InetSocketAddress counter, JsonNode known) {
-        ObjectNode root = new ObjectMapper().createObjectNode().put("name", "n" + s.me())
-                .put("listen", Listeners.text(listen)).put("discovery", Listeners.text(discovery))
-                .put("seed", Long.toHexString(s.seed())).put("counter", Listeners.text(counter));
+    private ObjectNode config(
+            Settings s,
+            InetSocketAddress listen,
+            InetSocketAddress discovery,
+            InetSocketAddress counter,
+            JsonNode known) {
+        ObjectNode root = new ObjectMapper()
+                .createObjectNode()
+                .put("name", "n" + s.me())
+                .put("listen", Listeners.text(listen))
+                .put("discovery", Listeners.text(discovery))
+                .put("seed", Long.toHexString(s.seed()))
+                .put("counter", Listeners.text(counter));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", 192).put("sockets", 1024);
         root.set("known", known);
-        ObjectNode settings = root.putObject("settings").put("ordinal", s.me()).put("balancers", s.gateways())
+        ObjectNode settings = root.putObject("settings")
+                .put("ordinal", s.me())
+                .put("balancers", s.gateways())
                 .put("az", s.zone());
-        settings.putObject("limits").put("max_attempts", s.limits().maxAttempts()).put("cancel", true)
-                .put("retry_after", true).put("max_retry_after_ms", s.limits().maxRetryAfterMs())
+        settings.putObject("limits")
+                .put("max_attempts", s.limits().maxAttempts())
+                .put("cancel", true)
+                .put("retry_after", true)
+                .put("max_retry_after_ms", s.limits().maxRetryAfterMs())
                 .put("connect_timeout_ms", s.limits().connectTimeoutMs());
-        settings.putObject("rules").put("answer_slack_ms", s.rules().answerSlackMs())
-                .put("drain_grace_ms", s.rules().drainGraceMs()).put("fall_multiple", s.rules().fallMultiple())
-                .put("fall_ms", s.rules().fallMs()).put("cold_from", s.rules().coldFrom())
+        settings.putObject("rules")
+                .put("answer_slack_ms", s.rules().answerSlackMs())
+                .put("drain_grace_ms", s.rules().drainGraceMs())
+                .put("fall_multiple", s.rules().fallMultiple())
+                .put("fall_ms", s.rules().fallMs())
+                .put("cold_from", s.rules().coldFrom())
                 .put("warm_within_ms", s.rules().warmWithinMs());
-        settings.putObject("specifics").put("counter", true).put("counter_price", s.sharing().counterPrice())
-                .put("meter_period_ms", s.sharing().meterPeriodMs()).put("max_units", s.sharing().maxUnits())
+        settings.putObject("specifics")
+                .put("counter", true)
+                .put("counter_price", s.sharing().counterPrice())
+                .put("meter_period_ms", s.sharing().meterPeriodMs())
+                .put("max_units", s.sharing().maxUnits())
                 .put("counter_timeout_ms", options.counterTimeoutMs);
         ArrayNode classes = settings.putArray("classes");
         for (RequestClass c : s.classes()) {
-            classes.addObject().put("name", c.name())
+            classes.addObject()
+                    .put("name", c.name())
                     .put("effect", c.effect() == Effect.REPEATABLE ? "repeatable" : "once")
-                    .put("goal_time_ms", c.aimMs()).put("hard_limit_ms", c.deadlineMs()).put("worth", c.worth());
+                    .put("goal_time_ms", c.aimMs())
+                    .put("hard_limit_ms", c.deadlineMs())
+                    .put("worth", c.worth());
         }
         ArrayNode plans = settings.putArray("plans");
         for (Plan p : s.plans()) {
-            plans.addObject().put("name", p.name()).put("units_per_s", p.rate()).put("depth", p.burst())
-                    .put("at_once", p.openLimit()).put("value_factor", p.price()).put("over_worth", p.overWorth())
+            plans.addObject()
+                    .put("name", p.name())
+                    .put("units_per_s", p.rate())
+                    .put("depth", p.burst())
+                    .put("at_once", p.openLimit())
+                    .put("value_factor", p.price())
+                    .put("over_worth", p.overWorth())
                     .put("excess_cost", p.overCost());
         }
         return root;
@@ -262,7 +305,8 @@
         awaitClock(options.endMs() + options.deadlineMs + DRAIN_MS);
         told("idle", before, idle, options.idleSeconds);
         told("loaded", from, to, options.seconds);
-        double resident = to.stream().mapToDouble(Sample::residentMegabytes).max().orElse(0);
+        double resident =
+                to.stream().mapToDouble(Sample::residentMegabytes).max().orElse(0);
         costs.put("real_resident_mb_max", Report.rounded(resident));
         for (Figures.End end : Figures.End.values()) {
             costs.put("real_" + end.name().toLowerCase(java.util.Locale.ROOT), times.ends(end));
@@ -277,8 +321,11 @@
     private List<Sample> samples() throws InterruptedException, ExecutionException {
         List<Sample> all = new ArrayList<>();
         for (Member m : members) {
-            all.add(onLoop(() -> new Sample(m.process.processorSeconds(), m.process.residentMegabytes(),
-                    m.traffic.bytes(), m.traffic.messages())));
+            all.add(onLoop(() -> new Sample(
+                    m.process.processorSeconds(),
+                    m.process.residentMegabytes(),
+                    m.traffic.bytes(),
+                    m.traffic.messages())));
         }
         return all;
     }
@@ -304,9 +351,11 @@
         }
         String[] names = {"cpu_share_of_core", "control_bytes_per_second", "control_messages_per_second"};
         for (int k = 0; k < names.length; k++) {
-            costs.put("real_" + phase + "_" + names[k] + "_mean",
+            costs.put(
+                    "real_" + phase + "_" + names[k] + "_mean",
                     Report.rounded(Arrays.stream(rates[k]).average().orElse(0)));
-            costs.put("real_" + phase + "_" + names[k] + "_max",
+            costs.put(
+                    "real_" + phase + "_" + names[k] + "_max",
                     Report.rounded(Arrays.stream(rates[k]).max().orElse(0)));
         }
     }
@@ -323,7 +372,9 @@
         members.forEach(m -> m.process.stop());
         long inOrder = members.stream().filter(m -> m.process.awaitEnd()).count();
         costs.put("real_ended_in_order", inOrder);
-        costs.put("real_left_running", members.stream().filter(m -> m.process.alive()).count());
+        costs.put(
+                "real_left_running",
+                members.stream().filter(m -> m.process.alive()).count());
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         try (Stream<Path> all = Files.walk(folder)) {
             all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
--- a/src/main/java/deckfall/scale/Report.java
+++ b/src/main/java/deckfall/scale/Report.java
@@ -40,13 +40,17 @@
     }
 
     static double rounded(double value) {
-        return value == 0 || !Double.isFinite(value) ? 0
-                : new java.math.BigDecimal(value).round(new java.math.MathContext(5)).doubleValue();
+        return value == 0 || !Double.isFinite(value)
+                ? 0
+                : new java.math.BigDecimal(value)
+                        .round(new java.math.MathContext(5))
+                        .doubleValue();
     }
 
     private void put(String name, double value) {
-        figures.put(name, value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value
-                : (Object) rounded(value));
+        figures.put(
+                name,
+                value == Math.rint(value) && Math.abs(value) < 1e15 ? (Object) (long) value : (Object) rounded(value));
     }
 
     private void tries() {
@@ -149,7 +153,11 @@
         line.put("costs", costs);
         try {
             String text = new ObjectMapper().writeValueAsString(line) + '\n';
-            Files.writeString(options.json.toPath(), text, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
+            Files.writeString(
+                    options.json.toPath(),
+                    text,
+                    StandardCharsets.UTF_8,
+                    StandardOpenOption.CREATE,
                     StandardOpenOption.APPEND);
             return 0;
         } catch (IOException e) {
--- a/src/main/java/deckfall/scale/Scale.java
+++ b/src/main/java/deckfall/scale/Scale.java
@@ -11,7 +11,10 @@
  * The command line of {@code scale}: what the decision module costs and does at a fleet's size. A bad argument gets
  * one plain line and the exit code 2, a run that fails 1.
  */
-@Command(name = "scale", description = "Runs of the gateways at a fleet's size.", mixinStandardHelpOptions = true,
+@Command(
+        name = "scale",
+        description = "Runs of the gateways at a fleet's size.",
+        mixinStandardHelpOptions = true,
         subcommands = {HollowOptions.class, RealOptions.class})
 public final class Scale implements Runnable {
     private static final int USAGE = 2;
@@ -19,7 +22,7 @@
     @Spec
     private CommandLine.Model.CommandSpec spec;
 
-    private Scale() { }
+    private Scale() {}
 
     @Override
     public void run() {
@@ -32,10 +35,12 @@
     }
 
     static int run(PrintWriter errors, String... arguments) {
-        return new CommandLine(new Scale()).setErr(errors)
+        return new CommandLine(new Scale())
+                .setErr(errors)
                 .setParameterExceptionHandler((e, all) -> {
                     errors.println("scale: " + e.getMessage().replaceAll("\\s*\\R\\s*", " "));
                     return USAGE;
-                }).execute(arguments);
+                })
+                .execute(arguments);
     }
 }
--- a/src/main/java/deckfall/scale/SeatListener.java
+++ b/src/main/java/deckfall/scale/SeatListener.java
@@ -52,8 +52,8 @@
             case MOOT -> HttpResponseStatus.NOT_FOUND;
             default -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
         };
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(BODY));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(BODY));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY.length);
         if (full) {
             response.headers().set("X-Never-Ran", "1");
--- a/src/main/java/deckfall/scale/SeatServer.java
+++ b/src/main/java/deckfall/scale/SeatServer.java
@@ -13,10 +13,16 @@
  * it is cold. It may drain, die, vanish from the network or take work and answer nothing.
  */
 final class SeatServer {
-    enum State { SERVING, DRAINING, HANGING, DEAD, VANISHED }
+    enum State {
+        SERVING,
+        DRAINING,
+        HANGING,
+        DEAD,
+        VANISHED
+    }
 
     /** A copy of a request that came whole, and who waits for its end. */
-    private record Work(Try.Attempt attempt, Consumer<Outcome> end) { }
+    private record Work(Try.Attempt attempt, Consumer<Outcome> end) {}
 
     final int index;
     final String id;
--- a/src/main/java/deckfall/scale/Seconds.java
+++ b/src/main/java/deckfall/scale/Seconds.java
@@ -7,7 +7,16 @@
 /** What happened in each second of the measured time: how a fault shows, and how it passes. */
 final class Seconds {
     /** What is added up. */
-    enum Sum { TRIES, SERVED, REFUSED, REFUSED_WITH_ROOM, UNITS_SENT, UNITS_BEYOND, CALLS, CALLS_OK }
+    enum Sum {
+        TRIES,
+        SERVED,
+        REFUSED,
+        REFUSED_WITH_ROOM,
+        UNITS_SENT,
+        UNITS_BEYOND,
+        CALLS,
+        CALLS_OK
+    }
 
     private final double fromMs;
     private final long[][] sums;
--- a/src/main/java/deckfall/scale/Try.java
+++ b/src/main/java/deckfall/scale/Try.java
@@ -20,7 +20,14 @@
     boolean counted; // its first attempt came to a seat server: it has taken its units
     boolean closed;
 
-    Try(long number, int customer, int units, int requestClass, int earlier, double arrivedMs, double deadlineMs,
+    Try(
+            long number,
+            int customer,
+            int units,
+            int requestClass,
+            int earlier,
+            double arrivedMs,
+            double deadlineMs,
             boolean measured) {
         this.number = number;
         this.id = "t" + Long.toHexString(number);
--- a/src/main/java/deckfall/wire/Main.java
+++ b/src/main/java/deckfall/wire/Main.java
@@ -11,7 +11,7 @@
 public final class Main {
     private static final int BUFFER = 1 << 16;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("wirehost")) {
@@ -19,8 +19,7 @@
             System.exit(2);
         }
         BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), BUFFER);
-        BufferedWriter out = new BufferedWriter(
-                new OutputStreamWriter(System.out, StandardCharsets.UTF_8), BUFFER);
+        BufferedWriter out = new BufferedWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8), BUFFER);
         try {
             new WireHost(in, out).run();
         } catch (WireFault fault) {
--- a/src/main/java/deckfall/wire/ReplyWriter.java
+++ b/src/main/java/deckfall/wire/ReplyWriter.java
@@ -62,7 +62,11 @@
 
     @Override
     public void timer(double delayMs, String token) {
-        line("TIMER in_ms=").append(number(delayMs)).append(" cookie=").append(token).append('\n');
+        line("TIMER in_ms=")
+                .append(number(delayMs))
+                .append(" cookie=")
+                .append(token)
+                .append('\n');
     }
 
     @Override
@@ -72,14 +76,22 @@
 
     @Override
     public void tell(int peer, byte[] data) {
-        line("NOTIFY dest=").append(peer).append(" contents=")
-                .append(data.length == 0 ? "-" : HexFormat.of().formatHex(data)).append('\n');
+        line("NOTIFY dest=")
+                .append(peer)
+                .append(" contents=")
+                .append(data.length == 0 ? "-" : HexFormat.of().formatHex(data))
+                .append('\n');
     }
 
     @Override
     public void count(String counter, double amount, double lifetimeMs) {
-        line("ADD_AND_GET counter=").append(counter).append(" by=").append(number(amount))
-                .append(" lifetime_ms=").append(number(lifetimeMs)).append('\n');
+        line("ADD_AND_GET counter=")
+                .append(counter)
+                .append(" by=")
+                .append(number(amount))
+                .append(" lifetime_ms=")
+                .append(number(lifetimeMs))
+                .append('\n');
     }
 
     @Override
--- a/src/main/java/deckfall/wire/WireHost.java
+++ b/src/main/java/deckfall/wire/WireHost.java
@@ -113,21 +113,44 @@
         }
         switch (name) {
             case "MEMBERSHIP" -> membership(now, brain, f);
-            case "DEMAND" -> brain.request(now, new Request(f.text("op_id"), f.number("valid_until_ms"),
-                    f.flag("retry", false), f.text("lane"), f.whole("holder"), f.text("contract"),
-                    f.number("size_units"), f.count("from_no", 0), f.count("doors", 1)));
+            case "DEMAND" ->
+                brain.request(
+                        now,
+                        new Request(
+                                f.text("op_id"),
+                                f.number("valid_until_ms"),
+                                f.flag("retry", false),
+                                f.text("lane"),
+                                f.whole("holder"),
+                                f.text("contract"),
+                                f.number("size_units"),
+                                f.count("from_no", 0),
+                                f.count("doors", 1)));
             case "FLOWING" -> brain.streamStarted(now, f.text("op_id"), f.count("hop"));
-            case "COMPLETED" -> brain.attemptEnded(now, new AttemptResult(f.text("op_id"), f.count("hop"),
-                    f.text("host"), outcome(f.text("reason")), f.number("cost_time_ms", 0),
-                    f.flag("terminal", false), f.count("use_pct", 0), f.number("cost", 0),
-                    f.row("health_info")));
+            case "COMPLETED" ->
+                brain.attemptEnded(
+                        now,
+                        new AttemptResult(
+                                f.text("op_id"),
+                                f.count("hop"),
+                                f.text("host"),
+                                outcome(f.text("reason")),
+                                f.number("cost_time_ms", 0),
+                                f.flag("terminal", false),
+                                f.count("use_pct", 0),
+                                f.number("cost", 0),
+                                f.row("health_info")));
             case "VANISHED" -> brain.clientLeft(now, f.text("op_id"));
             case "DUE" -> brain.timer(now, f.text("cookie"));
-            case "PROBE_RESULT" -> brain.probed(now, f.text("host"), outcome(f.text("reason")),
-                    f.number("cost_time_ms", 0), f.row("health_info"));
+            case "PROBE_RESULT" ->
+                brain.probed(
+                        now,
+                        f.text("host"),
+                        outcome(f.text("reason")),
+                        f.number("cost_time_ms", 0),
+                        f.row("health_info"));
             case "FROM_PEER" -> brain.peerSaid(now, f.count("neighbour"), f.bytes("contents"));
-            case "COUNTED" -> brain.counted(now, f.text("counter"), outcome(f.text("reason")),
-                    f.number("reading", 0));
+            case "COUNTED" -> brain.counted(now, f.text("counter"), outcome(f.text("reason")), f.number("reading", 0));
             default -> throw new WireFault("unknown message '" + name + "'");
         }
     }
@@ -161,8 +184,13 @@
                 throw new WireFault("expected " + members + " HOST lines, found " + i);
             }
             Fields h = fields();
-            hosts.add(new Host(h.text("host"), h.text("failure_domain", ""), h.text("shape", ""),
-                    h.count("cohort", 0), state(h.text("mode")), h.number("rating", 1),
+            hosts.add(new Host(
+                    h.text("host"),
+                    h.text("failure_domain", ""),
+                    h.text("shape", ""),
+                    h.count("cohort", 0),
+                    state(h.text("mode")),
+                    h.number("rating", 1),
                     h.number("born_ms", 0)));
         }
         catalogs.put(page, List.copyOf(hosts));
--- a/src/test/java/deckfall/ColdFleet.java
+++ b/src/test/java/deckfall/ColdFleet.java
@@ -28,9 +28,9 @@
     private static final double ALONE_MS = 1000; // that two processes of a gateway serve together
 
     /** What goes wrong beside the queues. */
-    record Troubles(double failing, double restartsPerSecond, boolean allRestart, boolean twoProcesses) { }
+    record Troubles(double failing, double restartsPerSecond, boolean allRestart, boolean twoProcesses) {}
 
-    private record Event(double at, int order, Runnable run) { }
+    private record Event(double at, int order, Runnable run) {}
 
     private static final class Copy {
         final FakeGateway gateway;
@@ -192,9 +192,27 @@
     private void start(int number) {
         Settings s = FakeGateway.settings(number, GATEWAYS, seed * 1000 + started++);
         String zone = "abc".substring(number % 3, number % 3 + 1);
-        FakeGateway g = new FakeGateway(now, new Settings(s.seed(), number, GATEWAYS, zone, false, s.classes(),
-                s.plans(), s.reportNames(), s.limits(), rules, s.sharing()));
-        g.brain.hosts(now, ListKind.FULL, servers.values().stream().filter(h -> h.up).map(SeatServer::listed).toList());
+        FakeGateway g = new FakeGateway(
+                now,
+                new Settings(
+                        s.seed(),
+                        number,
+                        GATEWAYS,
+                        zone,
+                        false,
+                        s.classes(),
+                        s.plans(),
+                        s.reportNames(),
+                        s.limits(),
+                        rules,
+                        s.sharing()));
+        g.brain.hosts(
+                now,
+                ListKind.FULL,
+                servers.values().stream()
+                        .filter(h -> h.up)
+                        .map(SeatServer::listed)
+                        .toList());
         running.add(g);
         List<FakeGateway> all = processes.get(number);
         if (!all.isEmpty()) g.brain.recall(now, all.get(0).brain.remember(now));
@@ -226,7 +244,10 @@
     private void tell(List<SeatServer> changed) {
         for (FakeGateway g : List.copyOf(running)) {
             act(g);
-            g.brain.hosts(now, ListKind.CHANGES, changed.stream().map(SeatServer::listed).toList());
+            g.brain.hosts(
+                    now,
+                    ListKind.CHANGES,
+                    changed.stream().map(SeatServer::listed).toList());
             act(g);
         }
     }
@@ -266,7 +287,8 @@
         lastCopy.put(s.id(), copy);
         if (to.startedMs > 0) to.sentAt.add(now);
         if (copy.number > 0) further++;
-        Outcome fault = List.of(Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED).get(random.nextInt(3));
+        Outcome fault =
+                List.of(Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED).get(random.nextInt(3));
         boolean fails = random.nextDouble() < troubles.failing;
         after(2, fails ? () -> ended(copy, fault) : () -> to.take(copy));
         after(3000, () -> ended(copy, Outcome.TIMEOUT));
@@ -276,8 +298,10 @@
         if (c.ended || !running.contains(c.gateway)) return;
         c.ended = true;
         act(c.gateway);
-        c.gateway.brain.attemptEnded(now, new AttemptResult(c.id, c.number, "", outcome, now - c.sentAt,
-                outcome == Outcome.OK, 0, 0, new double[0]));
+        c.gateway.brain.attemptEnded(
+                now,
+                new AttemptResult(
+                        c.id, c.number, "", outcome, now - c.sentAt, outcome == Outcome.OK, 0, 0, new double[0]));
         act(c.gateway);
     }
 }
--- a/src/test/java/deckfall/ColdFleetTest.java
+++ b/src/test/java/deckfall/ColdFleetTest.java
@@ -23,22 +23,35 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"8, 4, 0, 0, false, false", "20, 19, 0, 0, true, false", "20, 19, 0, 0, false, true",
-        "60, 57, 0.3, 4, true, true", "8, 7, 0.75, 4, false, false", "20, 10, 0.75, 4, true, true",
-        "20, 19, 0.75, 4, true, true"})
-    void whatAllGatewaysSendAColdServerStaysInItsBudget(int servers, int cold, double failing, double restarts,
-            boolean allRestart, boolean twoProcesses) {
+    @CsvSource({
+        "8, 4, 0, 0, false, false",
+        "20, 19, 0, 0, true, false",
+        "20, 19, 0, 0, false, true",
+        "60, 57, 0.3, 4, true, true",
+        "8, 7, 0.75, 4, false, false",
+        "20, 10, 0.75, 4, true, true",
+        "20, 19, 0.75, 4, true, true"
+    })
+    void whatAllGatewaysSendAColdServerStaysInItsBudget(
+            int servers, int cold, double failing, double restarts, boolean allRestart, boolean twoProcesses) {
         play(LONG, servers, cold, new Troubles(failing, restarts, allRestart, twoProcesses));
     }
 
     /** Further attempts draw anew, so the chances of a cold server add up where many fail or the window is short. */
     @Tag("known-red")
     @ParameterizedTest
-    @CsvSource({"true, 8, 7, 0.9, false", "true, 20, 10, 0.9, true", "true, 20, 19, 0.9, true",
-        "true, 60, 57, 0.9, true", "false, 8, 7, 0.3, true", "false, 20, 10, 0.9, true", "false, 20, 19, 0.9, true",
-        "false, 60, 57, 0.9, true"})
-    void itStaysInItsBudgetUnderManyFurtherAttempts(boolean longWindow, int servers, int cold, double failing,
-            boolean all) {
+    @CsvSource({
+        "true, 8, 7, 0.9, false",
+        "true, 20, 10, 0.9, true",
+        "true, 20, 19, 0.9, true",
+        "true, 60, 57, 0.9, true",
+        "false, 8, 7, 0.3, true",
+        "false, 20, 10, 0.9, true",
+        "false, 20, 19, 0.9, true",
+        "false, 60, 57, 0.9, true"
+    })
+    void itStaysInItsBudgetUnderManyFurtherAttempts(
+            boolean longWindow, int servers, int cold, double failing, boolean all) {
         play(longWindow ? LONG : SHORT, servers, cold, new Troubles(failing, 4, all, all));
     }
 }
--- a/src/test/java/deckfall/CounterTest.java
+++ b/src/test/java/deckfall/CounterTest.java
@@ -18,9 +18,21 @@
 
     private static FakeGateway gateway(boolean counter) {
         Settings s = FakeGateway.settings(0, GATEWAYS);
-        return new FakeGateway(0, new Settings(s.seed(), 0, GATEWAYS, "a", false, s.classes(), List.of(SLOW),
-                List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
-                new Sharing(counter, 0, 80, 1000, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4");
+        return new FakeGateway(
+                        0,
+                        new Settings(
+                                s.seed(),
+                                0,
+                                GATEWAYS,
+                                "a",
+                                false,
+                                s.classes(),
+                                List.of(SLOW),
+                                List.of(),
+                                new Limits(3, false, true, false, false, true, 500, 100),
+                                s.rules(),
+                                new Sharing(counter, 0, 80, 1000, false, 1, 0, 0, 0, 0)))
+                .withHosts("a1", "a2", "a3", "a4");
     }
 
     @BeforeEach
@@ -128,8 +140,8 @@
         while (g.refused.isEmpty()) {
             String id = ask();
             if (g.refused.isEmpty()) {
-                g.brain.attemptEnded(g.now, new AttemptResult(id, 0, g.hostOf(id), Outcome.OK, 10, true, 1, 0,
-                        new double[0]));
+                g.brain.attemptEnded(
+                        g.now, new AttemptResult(id, 0, g.hostOf(id), Outcome.OK, 10, true, 1, 0, new double[0]));
             }
         }
         int first = g.sent.size();
@@ -184,9 +196,21 @@
     void withoutAMeterAGuessIsLeftToThePlansWhoseExcessCostsLittle() {
         Settings s = FakeGateway.settings(0, GATEWAYS);
         Plan cheap = new Plan("cheap", SLOW.rate(), SLOW.burst(), 0, 1, 0, 0.1, 0, 0, 0);
-        g = new FakeGateway(0, new Settings(s.seed(), 0, GATEWAYS, "a", false, s.classes(), List.of(SLOW, cheap),
-                List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
-                new Sharing(true, 0, 80, 0, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4");
+        g = new FakeGateway(
+                        0,
+                        new Settings(
+                                s.seed(),
+                                0,
+                                GATEWAYS,
+                                "a",
+                                false,
+                                s.classes(),
+                                List.of(SLOW, cheap),
+                                List.of(),
+                                new Limits(3, false, true, false, false, true, 500, 100),
+                                s.rules(),
+                                new Sharing(true, 0, 80, 0, false, 1, 0, 0, 0, 0)))
+                .withHosts("a1", "a2", "a3", "a4");
         askUntilCounted();
         assertEquals(1, g.sent.size()); // its part of the burst, and no more unasked
         g.counted.clear();
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -133,7 +133,9 @@
     @Test
     void manyGatewaysDoNotGatherOnOneHost() {
         // each knows next to nothing of the hosts: the best by own counts would be the same for all
-        String[] hosts = IntStream.range(0, 60).mapToObj(i -> "abc".charAt(i % 3) + "" + i).toArray(String[]::new);
+        String[] hosts = IntStream.range(0, 60)
+                .mapToObj(i -> "abc".charAt(i % 3) + "" + i)
+                .toArray(String[]::new);
         Map<String, Integer> got = new TreeMap<>();
         for (int me = 0; me < 300; me++) {
             FakeGateway g = new FakeGateway(1000, FakeGateway.settings(me, 300, me)).withHosts(hosts);
@@ -192,7 +194,9 @@
     @Test
     void hundredsOfGatewaysKeepToEquallyManyHostsEach() {
         // i2e3387: every gateway met every host, and tables full of idle connections refused new ones
-        String[] hosts = IntStream.range(0, 65).mapToObj(i -> "abc".charAt(i % 3) + "" + i).toArray(String[]::new);
+        String[] hosts = IntStream.range(0, 65)
+                .mapToObj(i -> "abc".charAt(i % 3) + "" + i)
+                .toArray(String[]::new);
         Map<String, Integer> met = new TreeMap<>();
         for (int me = 0; me < 379; me++) {
             FakeGateway g = new FakeGateway(1000, FakeGateway.settings(me, 379, me)).withHosts(hosts);
@@ -247,8 +251,13 @@
         String[] classes = {"read", "pay", "order"};
         for (int i = 0; i < 400; i++) {
             String id = "r" + i;
-            g.ask(id, classes[random.nextInt(3)], random.nextBoolean() ? "small" : "free",
-                    random.nextInt(20), 1 + random.nextInt(4), 3);
+            g.ask(
+                    id,
+                    classes[random.nextInt(3)],
+                    random.nextBoolean() ? "small" : "free",
+                    random.nextInt(20),
+                    1 + random.nextInt(4),
+                    3);
             if (g.sends(id) > 0) {
                 open.add(id);
             }
--- a/src/test/java/deckfall/FakeGateway.java
+++ b/src/test/java/deckfall/FakeGateway.java
@@ -17,13 +17,13 @@
     static final Plan OPEN = new Plan("open", 0, 0, 2, 1, 0, 1, 0, 0, 0);
     static final Plan FREE = new Plan("free", 1e6, 1e6, 0, 1, 0, 1, 0, 0, 0);
 
-    record Sent(double at, String id, String host) { }
+    record Sent(double at, String id, String host) {}
 
-    record Told(int peer, byte[] data) { }
+    record Told(int peer, byte[] data) {}
 
-    record Counted(String counter, double amount) { }
+    record Counted(String counter, double amount) {}
 
-    private record Timer(double at, int order, String token) { }
+    private record Timer(double at, int order, String token) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
@@ -50,8 +50,15 @@
     }
 
     static Settings settings(int me, int gateways, long seed) {
-        return new Settings(seed, me, gateways, "a", false, List.of(READ, PAY, ORDER),
-                List.of(SMALL, CAPPED, OPEN, FREE), List.of(),
+        return new Settings(
+                seed,
+                me,
+                gateways,
+                "a",
+                false,
+                List.of(READ, PAY, ORDER),
+                List.of(SMALL, CAPPED, OPEN, FREE),
+                List.of(),
                 new Limits(4, false, true, true, true, true, 500, 100),
                 new Rules(8, 500, 2, 1000, 0.2, 10_000, 0),
                 new Sharing(false, 0, 80, 0, false, 4, 60, 0.01, 0.01, 0.01));
@@ -83,12 +90,18 @@
     }
 
     void end(String id, int attempt, Outcome outcome, double latency) {
-        brain.attemptEnded(now, new AttemptResult(id, attempt, hostOf(id), outcome, latency,
-                outcome == Outcome.OK, 0, 0, new double[0]));
+        brain.attemptEnded(
+                now,
+                new AttemptResult(
+                        id, attempt, hostOf(id), outcome, latency, outcome == Outcome.OK, 0, 0, new double[0]));
     }
 
     String hostOf(String id) {
-        return sent.stream().filter(s -> s.id().equals(id)).reduce((a, b) -> b).orElseThrow().host();
+        return sent.stream()
+                .filter(s -> s.id().equals(id))
+                .reduce((a, b) -> b)
+                .orElseThrow()
+                .host();
     }
 
     long sends(String id) {
@@ -96,7 +109,8 @@
     }
 
     long answers(String id) {
-        return refused.stream().filter(id::equals).count() + failed.stream().filter(id::equals).count();
+        return refused.stream().filter(id::equals).count()
+                + failed.stream().filter(id::equals).count();
     }
 
     void runTo(double end) {
--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -109,13 +109,13 @@
         for (int i = 0; i < 100; i++) {
             steady(g, i);
         }
-        g.brain.hosts(g.now, ListKind.CHANGES,
-                List.of(new Host("c1", "c", "std", 0, HostState.RUNNING, 1, g.now)));
+        g.brain.hosts(g.now, ListKind.CHANGES, List.of(new Host("c1", "c", "std", 0, HostState.RUNNING, 1, g.now)));
         int before = g.sent.size();
         for (int i = 100; i < 150; i++) {
             steady(g, i);
         }
-        long cold = g.sent.stream().skip(before).filter(s -> s.host().equals("c1")).count();
+        long cold =
+                g.sent.stream().skip(before).filter(s -> s.host().equals("c1")).count();
         // 50 requests a second, half of them for each warm host: cold 0.2 x multiple 2 = 10 for all gateways
         assertTrue(cold >= 1 && cold < 10, "cold host got " + cold);
     }
@@ -167,8 +167,21 @@
         for (double at : new double[] {550, 650}) {
             Settings s = FakeGateway.settings(0, 1);
             Limits slow = new Limits(4, false, true, true, true, true, 500, 400);
-            FakeGateway g = new FakeGateway(1000, new Settings(s.seed(), 0, 1, s.zone(), false, s.classes(), s.plans(),
-                    s.reportNames(), slow, s.rules(), s.sharing())).withHosts("a1", "a2");
+            FakeGateway g = new FakeGateway(
+                            1000,
+                            new Settings(
+                                    s.seed(),
+                                    0,
+                                    1,
+                                    s.zone(),
+                                    false,
+                                    s.classes(),
+                                    s.plans(),
+                                    s.reportNames(),
+                                    slow,
+                                    s.rules(),
+                                    s.sharing()))
+                    .withHosts("a1", "a2");
             g.ask("o", "order");
             g.pass(at);
             g.end("o", 0, Outcome.RESET, at);
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -28,9 +28,20 @@
     void gateways() {
         for (int i = 0; i < GATEWAYS; i++) {
             Settings s = FakeGateway.settings(i, GATEWAYS);
-            all.add(new FakeGateway(0, new Settings(s.seed(), i, GATEWAYS, "a", false, s.classes(),
-                    List.of(WIDE), List.of(), new Limits(3, false, true, false, false, true, 500, 100),
-                    s.rules(), new Sharing(false, 0, 80, PERIOD_MS, false, 1, 0, 0, 0, 0)))
+            all.add(new FakeGateway(
+                            0,
+                            new Settings(
+                                    s.seed(),
+                                    i,
+                                    GATEWAYS,
+                                    "a",
+                                    false,
+                                    s.classes(),
+                                    List.of(WIDE),
+                                    List.of(),
+                                    new Limits(3, false, true, false, false, true, 500, 100),
+                                    s.rules(),
+                                    new Sharing(false, 0, 80, PERIOD_MS, false, 1, 0, 0, 0, 0)))
                     .withHosts("a1", "a2", "a3", "a4"));
         }
     }
@@ -52,8 +63,10 @@
             for (FakeGateway.Sent s : List.copyOf(g.sent)) {
                 if (ended.add(g.hashCode() + s.id())) {
                     usedIn.merge((int) (s.at() / PERIOD_MS), 1, Integer::sum);
-                    g.brain.attemptEnded(g.now, new AttemptResult(s.id(), 0, s.host(), Outcome.OK, STEP_MS, true,
-                            usedPct, 0, new double[0]));
+                    g.brain.attemptEnded(
+                            g.now,
+                            new AttemptResult(
+                                    s.id(), 0, s.host(), Outcome.OK, STEP_MS, true, usedPct, 0, new double[0]));
                 }
             }
         }
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -27,7 +27,7 @@
 
     /** Carries tells with a beat's delay and answers what was sent. */
     private void pass(double ms) {
-        for (double end = all.get(0).now + ms; all.get(0).now < end;) {
+        for (double end = all.get(0).now + ms; all.get(0).now < end; ) {
             for (FakeGateway g : all) {
                 g.pass(10);
             }
@@ -153,8 +153,11 @@
         g.brain.peerSaid(g.now, member, once);
         g.brain.peerSaid(g.now, member, once);
         g.pass(100);
-        Tell.Entry answer = g.told.stream().flatMap(t -> Tell.read(t.data()).entries().stream())
-                .filter(Tell.Entry::answer).findFirst().orElseThrow();
+        Tell.Entry answer = g.told.stream()
+                .flatMap(t -> Tell.read(t.data()).entries().stream())
+                .filter(Tell.Entry::answer)
+                .findFirst()
+                .orElseThrow();
         assertEquals(4, answer.want());
         assertEquals(8.0 / 12, answer.fullness(), 0.05);
     }
@@ -170,7 +173,10 @@
     void withItsKeepersSilentAGatewayHasTheEvenSplit() {
         gateways(4);
         int[] keepers = State.ranked(42, 0, 4, 4, 2);
-        int member = IntStream.range(0, 4).filter(g -> g != keepers[0] && g != keepers[1]).findFirst().orElseThrow();
+        int member = IntStream.range(0, 4)
+                .filter(g -> g != keepers[0] && g != keepers[1])
+                .findFirst()
+                .orElseThrow();
         cut = true;
         pass(4000);
         double units = flood(20, member);
@@ -188,7 +194,11 @@
         all.get(1).ask("b", "read", "small", 42, 4, 2);
         all.get(0).pass(400);
         all.get(1).pass(400);
-        byte[] good = all.stream().flatMap(g -> g.told.stream()).findFirst().orElseThrow().data();
+        byte[] good = all.stream()
+                .flatMap(g -> g.told.stream())
+                .findFirst()
+                .orElseThrow()
+                .data();
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 0x10;
@@ -202,10 +212,10 @@
     @Test
     void aTellKeepsWhatItSays() {
         long customer = 4569004829183723L % (1L << 33);
-        Tell.Entry tell = new Tell.Entry(false, true, true, false, true, customer, 255, 389, 390, 12.5, 3.25, 7.5,
-                -0.5, 300, 0);
-        Tell.Entry answer = new Tell.Entry(true, false, true, true, false, customer, 1, 0, 0, 12.5, 3.25, 7.5,
-                0.25, 4, 70_000.5);
+        Tell.Entry tell =
+                new Tell.Entry(false, true, true, false, true, customer, 255, 389, 390, 12.5, 3.25, 7.5, -0.5, 300, 0);
+        Tell.Entry answer =
+                new Tell.Entry(true, false, true, true, false, customer, 1, 0, 0, 12.5, 3.25, 7.5, 0.25, 4, 70_000.5);
         Tell said = new Tell(-5, 9, 65_535, 0, List.of(tell, answer));
         assertEquals(said, Tell.read(said.bytes()));
     }
--- a/src/test/java/deckfall/ScarceCounterTest.java
+++ b/src/test/java/deckfall/ScarceCounterTest.java
@@ -28,9 +28,21 @@
     private void start(double excessCost) {
         Plan plan = new Plan("small", RATE, BURST, 0, 1, 0, excessCost, 0, 0, 0);
         Settings s = FakeGateway.settings(0, GATEWAYS);
-        gateway = new FakeGateway(0, new Settings(s.seed(), 0, GATEWAYS, "a", false, s.classes(), List.of(plan),
-                List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
-                new Sharing(true, 0, 80, 1000, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4");
+        gateway = new FakeGateway(
+                        0,
+                        new Settings(
+                                s.seed(),
+                                0,
+                                GATEWAYS,
+                                "a",
+                                false,
+                                s.classes(),
+                                List.of(plan),
+                                List.of(),
+                                new Limits(3, false, true, false, false, true, 500, 100),
+                                s.rules(),
+                                new Sharing(true, 0, 80, 1000, false, 1, 0, 0, 0, 0)))
+                .withHosts("a1", "a2", "a3", "a4");
     }
 
     private void request(long customer) {
@@ -94,8 +106,10 @@
         FakeGateway.Counted call = callThatStandsForOthers();
         answer(call, call.amount() + BEYOND);
         gateway.pass(3000);
-        double given = gateway.counted.stream().filter(c -> c.counter().equals(call.counter()))
-                .mapToDouble(FakeGateway.Counted::amount).sum();
+        double given = gateway.counted.stream()
+                .filter(c -> c.counter().equals(call.counter()))
+                .mapToDouble(FakeGateway.Counted::amount)
+                .sum();
         assertEquals(-call.amount(), given, 1e-9, gateway.counted.toString());
     }
 
--- a/src/test/java/deckfall/WideSetTest.java
+++ b/src/test/java/deckfall/WideSetTest.java
@@ -1,6 +1,5 @@
 package deckfall;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.Gateway.*;
@@ -36,9 +35,21 @@
         counterServes = counter;
         for (int i = 0; i < GATEWAYS; i++) {
             Settings s = FakeGateway.settings(i, GATEWAYS, i);
-            all.add(new FakeGateway(0, new Settings(s.seed(), i, GATEWAYS, "a", false, s.classes(), List.of(LARGE, SMALL),
-                    List.of(), new Limits(3, false, true, false, false, true, 500, 100), s.rules(),
-                    new Sharing(true, 0, 80, PERIOD_MS, false, 1, 0, 0, 0, 0))).withHosts("a1", "a2", "a3", "a4"));
+            all.add(new FakeGateway(
+                            0,
+                            new Settings(
+                                    s.seed(),
+                                    i,
+                                    GATEWAYS,
+                                    "a",
+                                    false,
+                                    s.classes(),
+                                    List.of(LARGE, SMALL),
+                                    List.of(),
+                                    new Limits(3, false, true, false, false, true, 500, 100),
+                                    s.rules(),
+                                    new Sharing(true, 0, 80, PERIOD_MS, false, 1, 0, 0, 0, 0)))
+                    .withHosts("a1", "a2", "a3", "a4"));
         }
     }
 
@@ -60,8 +71,9 @@
         for (FakeGateway.Sent s : List.copyOf(g.sent)) {
             if (ended.add(s.id())) {
                 usedIn.merge((int) (s.at() / PERIOD_MS), 1, Integer::sum);
-                g.brain.attemptEnded(g.now, new AttemptResult(s.id(), 0, s.host(), Outcome.OK, STEP_MS, true, usedPct,
-                        0, new double[0]));
+                g.brain.attemptEnded(
+                        g.now,
+                        new AttemptResult(s.id(), 0, s.host(), Outcome.OK, STEP_MS, true, usedPct, 0, new double[0]));
             }
         }
         List<FakeGateway.Counted> made = List.copyOf(g.counted);
--- a/src/test/java/deckfall/net/CallTimingTest.java
+++ b/src/test/java/deckfall/net/CallTimingTest.java
@@ -16,7 +16,13 @@
     private static final long STEP_MS = 10;
     private static final int SEEDS = 5;
 
-    private enum Failure { SILENT, HANGING_CONNECT, REFUSED, RESET, UNAVAILABLE }
+    private enum Failure {
+        SILENT,
+        HANGING_CONNECT,
+        REFUSED,
+        RESET,
+        UNAVAILABLE
+    }
 
     private static long failsAfterMs(Failure how, CallTiming timing) {
         return switch (how) {
@@ -31,7 +37,7 @@
         CallTiming timing = new CallTiming(new Random(seed));
         timing.answered(); // the watch has been opened as the spell begins
         long now = 0;
-        for (boolean over = false; !over;) {
+        for (boolean over = false; !over; ) {
             over = now >= spellMs;
             now += failsAfterMs(over ? further : spell, timing);
             now += timing.failedMs();
@@ -46,8 +52,9 @@
                 for (long spellMs = 1; spellMs < LONGEST_SPELL_MS; spellMs += STEP_MS) {
                     for (int seed = 0; seed < SEEDS; seed++) {
                         long ms = heardAfterMs(spellMs, spell, further, seed);
-                        assertTrue(ms <= TOLD_MS - MARGIN_MS, ms + " ms after " + spellMs + " ms of " + spell
-                                + " and " + further);
+                        assertTrue(
+                                ms <= TOLD_MS - MARGIN_MS,
+                                ms + " ms after " + spellMs + " ms of " + spell + " and " + further);
                     }
                 }
             }
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -97,23 +97,25 @@
 
     /** A module that sends each request to one host. */
     private Function<Actions, Events> sending(String host) {
-        return act -> new Scripted((now, r) -> {
-            act.send(r.id(), host, 0);
-            asked.add(r);
-        }, results::add);
+        return act -> new Scripted(
+                (now, r) -> {
+                    act.send(r.id(), host, 0);
+                    asked.add(r);
+                },
+                results::add);
     }
 
     /** The module itself, with what it was told of noted once it has acted on it. */
     private Events noted(Actions act) {
         Brain brain = new Brain(act);
-        return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), new Class<?>[] {Events.class},
-                (proxy, method, args) -> {
+        return (Events) Proxy.newProxyInstance(
+                Events.class.getClassLoader(), new Class<?>[] {Events.class}, (proxy, method, args) -> {
                     Object answer = method.invoke(brain, args);
                     switch (method.getName()) {
                         case "request" -> asked.add((Request) args[1]);
                         case "attemptEnded" -> results.add((AttemptResult) args[1]);
                         case "clientLeft" -> left.add((String) args[1]);
-                        default -> { }
+                        default -> {}
                     }
                     return answer;
                 });
@@ -128,8 +130,8 @@
             Node node = node(this::noted, c -> c, entry("h0", slow.address(), "ready"));
             Client c = client(node).send(order("o", "b"));
             assertEquals("o", next(asked).id());
-            registry.news.add(list(2, false, entry("h0", slow.address(), state),
-                    entry("h1", other.address(), "ready")));
+            registry.news.add(
+                    list(2, false, entry("h0", slow.address(), state), entry("h1", other.address(), "ready")));
             assertEquals("for o", c.receive().text());
             assertEquals(Outcome.FULL, next(results).outcome());
             assertEquals(Outcome.OK, next(results).outcome());
@@ -155,7 +157,9 @@
     void aRequestWhoseClientLeftBeforeItsConnectionCameUpIsNeverSent() throws Exception {
         for (String cancel : new String[] {"true", "false"}) {
             Unreachable slow = kept(new Unreachable());
-            Node node = node(this::noted, c -> c.replace("\"cancel\": true", "\"cancel\": " + cancel),
+            Node node = node(
+                    this::noted,
+                    c -> c.replace("\"cancel\": true", "\"cancel\": " + cancel),
                     entry("h0", slow.address(), "ready"));
             Client c = client(node).send(order("o" + cancel, "b"));
             next(asked);
@@ -247,8 +251,12 @@
     @Test
     void anAnswerThatHasOnlyBegunReachesNoOtherRequest() throws Exception {
         clock.stands = true;
-        for (String begun : new String[] {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le", "left over",
-            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"}) {
+        for (String begun : new String[] {
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Le",
+            "left over",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        }) {
             AtomicReference<Socket> first = new AtomicReference<>();
             Server host = kept(new Server((m, s) -> {
                 if (first.compareAndSet(null, s)) {
@@ -287,7 +295,8 @@
         assertEquals("for two", other.send(order("two", "b")).receive().text()); // what came before has been read
         clock.aheadMs = 2600;
         assertEquals(408, c.receive().status());
-        assertEquals("for three", other.send("\r\n" + order("three", "b")).receive().text());
+        assertEquals(
+                "for three", other.send("\r\n" + order("three", "b")).receive().text());
     }
 
     /** Who has not sent a whole request yet is owed a word 3 s after connecting, however late the head came. */
@@ -365,19 +374,24 @@
     void noAttemptBeginsForAClientThatLeftWhileTheLoopWasBusy() throws Exception {
         CountDownLatch[] gone = {new CountDownLatch(1), new CountDownLatch(1)};
         Server host = kept(new Server((m, s) -> s.close()));
-        Node node = node(act -> new Scripted((now, r) -> {
-            asked.add(r);
-            if (r.id().equals("first")) {
-                await(gone[0]);
-            }
-            act.send(r.id(), "h0", 0);
-        }, r -> {
-            results.add(r);
-            if (r.id().equals("second") && r.outcome() == Outcome.RESET) {
-                await(gone[1]);
-                act.send(r.id(), "h0", 0);
-            }
-        }), c -> c, entry("h0", host.address(), "ready"));
+        Node node = node(
+                act -> new Scripted(
+                        (now, r) -> {
+                            asked.add(r);
+                            if (r.id().equals("first")) {
+                                await(gone[0]);
+                            }
+                            act.send(r.id(), "h0", 0);
+                        },
+                        r -> {
+                            results.add(r);
+                            if (r.id().equals("second") && r.outcome() == Outcome.RESET) {
+                                await(gone[1]);
+                                act.send(r.id(), "h0", 0);
+                            }
+                        }),
+                c -> c,
+                entry("h0", host.address(), "ready"));
         Client first = client(node).send(order("first", "b"));
         next(asked);
         first.close();
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -140,9 +140,16 @@
         Server gone = kept(new Server(DiscoveryTest::echo));
         Server ready = kept(new Server(DiscoveryTest::echo));
         Server discovery = discovery();
-        String[] old = {entry("a", drains.address(), "ready"), entry("b", gone.address(), "ready"),
-            entry("c", ready.address(), "ready")};
-        answers.add(list(9, false, entry("a", drains.address(), DRAINED), entry("b", gone.address(), "gone"),
+        String[] old = {
+            entry("a", drains.address(), "ready"),
+            entry("b", gone.address(), "ready"),
+            entry("c", ready.address(), "ready")
+        };
+        answers.add(list(
+                9,
+                false,
+                entry("a", drains.address(), DRAINED),
+                entry("b", gone.address(), "gone"),
                 entry("d", gone.address(), "ready")));
         answers.add(list(10, true, old[2], entry("a", drains.address(), DRAINED)));
         answers.add(list(8, true, old[0], old[1], old[2], entry("d", gone.address(), "ready")));
@@ -151,7 +158,7 @@
         for (int i = 0; i < 5; i++) {
             asked(discovery); // the last call is made before its answer is told, so:
         }
-        node.loop.submit(() -> { }).sync();
+        node.loop.submit(() -> {}).sync();
         for (int i = 0; i < 20; i++) {
             assertEquals(200, status(node, "v" + i));
         }
@@ -168,7 +175,7 @@
         for (int i = 0; i < 3; i++) {
             asked(discovery);
         }
-        node.loop.submit(() -> { }).sync();
+        node.loop.submit(() -> {}).sync();
         assertEquals(200, status(node, "v"));
     }
 
@@ -205,7 +212,8 @@
     void aListMayComeIndentedAndByteByByte() throws Exception {
         Server host = kept(new Server(DiscoveryTest::echo));
         ObjectMapper json = new ObjectMapper();
-        String list = json.readTree(list(9, false, entry("a", host.address(), "ready"))).toPrettyString();
+        String list = json.readTree(list(9, false, entry("a", host.address(), "ready")))
+                .toPrettyString();
         Server discovery = kept(new Server((m, s) -> {
             if (m.start().contains("hold_ms=0")) {
                 s.setTcpNoDelay(true);
@@ -218,7 +226,7 @@
         assertTrue(list.contains("\n  \"version\" : 9"), list);
         assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", asked(discovery));
         assertTrue(asked(discovery).contains("from=9&"));
-        node.loop.submit(() -> { }).sync();
+        node.loop.submit(() -> {}).sync();
         assertEquals(200, status(node, "v"));
     }
 }
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -75,7 +75,7 @@
     /** Held, out at a host that hangs, half read in its head or body, not begun: none of it stays open. */
     @Test
     void nothingStaysOpenOnceTheTimeIsUp() throws Exception {
-        Server hangs = kept(new Server((m, s) -> { }));
+        Server hangs = kept(new Server((m, s) -> {}));
         Node node = node(entry("h0", hangs.address(), "ready"));
         Client out = client(node).send(order("out", "b"));
         assertNotNull(hangs.next());
@@ -114,18 +114,20 @@
         Registry registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
         Hand clock = new Hand();
         clock.stands = true;
-        Node node = new Node(NodeConfig.of(new ObjectMapper()
-                .readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))), Brain::new, clock);
+        Node node = new Node(
+                NodeConfig.of(new ObjectMapper().readTree(Sockets.config(registry.server.address(), "127.0.0.1:0"))),
+                Brain::new,
+                clock);
         ends.push(node::stop);
         node.start();
         Client idle = client(node);
         assertEquals(200, idle.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
         node.operations().quiesce();
-        node.loop.submit(() -> { }).sync(); // the answer's turn has read the clock before its hand moves
+        node.loop.submit(() -> {}).sync(); // the answer's turn has read the clock before its hand moves
         clock.aheadMs = 10_000;
         assertNull(idle.receive()); // from here on there is a sweep every 50 ms
         Client c = client(node);
-        node.loop.schedule(() -> { }, 150, TimeUnit.MILLISECONDS).sync();
+        node.loop.schedule(() -> {}, 150, TimeUnit.MILLISECONDS).sync();
         assertEquals(200, c.send(view("v", Sockets.PATIENCE_MS)).receive().status());
     }
 
@@ -137,9 +139,10 @@
         EventLoop loop = group.next();
         Drain drain = new Drain(loop, new Hand(), null);
         assertTrue(loop.submit(() -> {
-            drain.begin();
-            return drain.sweeping();
-        }).get());
+                    drain.begin();
+                    return drain.sweeping();
+                })
+                .get());
         drain.resume();
     }
 }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -67,10 +67,10 @@
         }
 
         @Override
-        public void flush() { }
+        public void flush() {}
 
         @Override
-        public void close() { }
+        public void close() {}
     };
 
     private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -129,7 +129,7 @@
         CompletableFuture<Integer> portWhenAsked = new CompletableFuture<>();
         Server registry = kept(new Server((m, s) -> {
             Node node = started.join();
-            node.loop.submit(() -> { }).sync(); // what was begun before the call is done
+            node.loop.submit(() -> {}).sync(); // what was begun before the call is done
             portWhenAsked.complete(node.port());
             s.getOutputStream().write(ok(list(1, true)));
         }));
@@ -175,8 +175,8 @@
     void whereDiscoveryIsGoneTheConfigurationIsReadAgain(@TempDir Path folder) throws Exception {
         Registry old = new Registry(list(1, true));
         Registry moved = kept(new Registry(list(2, true)));
-        Path file = Files.writeString(folder.resolve("config.json"),
-                Sockets.config(old.server.address(), "127.0.0.1:0"));
+        Path file =
+                Files.writeString(folder.resolve("config.json"), Sockets.config(old.server.address(), "127.0.0.1:0"));
         Node node = new Node(NodeConfig.read(file.toString()));
         ends.push(node::stop);
         node.configuredBy(file);
@@ -227,7 +227,9 @@
         Server host = host(NodeTest::echo);
         Node node = nodeWith(entry("dead", DEAD, "ready"), entry("live", host.address(), "ready"));
         for (int i = 0; i < 10; i++) {
-            assertEquals("for o" + i + " b", client(node).send(order("o" + i, "b")).receive().text());
+            assertEquals(
+                    "for o" + i + " b",
+                    client(node).send(order("o" + i, "b")).receive().text());
         }
         assertEquals(10, host.asked.size());
     }
@@ -243,8 +245,8 @@
 
     @Test
     void aRequestThatNeverRanIsRefusedWithATimeToComeBack() throws Exception {
-        Server host = host((m, s) -> s.getOutputStream()
-                .write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
+        Server host = host((m, s) ->
+                s.getOutputStream().write(bytes("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")));
         Message answer = client(nodeBefore(host)).send(order("o", "b")).receive();
         assertEquals(429, answer.status());
         assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
@@ -273,7 +275,12 @@
             s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"));
             s.close();
         });
-        assertEquals("for v ", client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS)).receive().text());
+        assertEquals(
+                "for v ",
+                client(nodeBefore(host))
+                        .send(view("v", Sockets.PATIENCE_MS))
+                        .receive()
+                        .text());
         assertEquals(2, asked.get());
     }
 
@@ -283,8 +290,11 @@
         Deque<String> lines = new ArrayDeque<>(List.of("no colon here", "no", "X-Pad : 1"));
         Server host = host((m, s) -> {
             String line = lines.poll();
-            s.getOutputStream().write(line == null ? ok("for " + m.header("X-Trace-Id"))
-                    : bytes("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nfake"));
+            s.getOutputStream()
+                    .write(
+                            line == null
+                                    ? ok("for " + m.header("X-Trace-Id"))
+                                    : bytes("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nfake"));
         });
         Client c = client(nodeBefore(host));
         assertEquals(502, c.send(order("o", "b")).receive().status()); // each of its three attempts may have run
@@ -305,7 +315,7 @@
                 case 0 -> all.write(good);
                 case 1 -> all.write(bytes("HTTP/1.1 200 OK\r\nContent-Le"));
                 case 2 -> all.write(bytes("left over"));
-                default -> { }
+                default -> {}
             }
             s.getOutputStream().write(all.toByteArray());
         });
@@ -338,7 +348,9 @@
         });
         Client c = client(nodeBefore(host));
         for (int i = 0; i < 5; i++) {
-            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
             TimeUnit.MILLISECONDS.sleep(300); // the idle time itself: more of it changes nothing
         }
         assertTrue(idleNanos.size() > 0);
@@ -349,7 +361,7 @@
 
     @Test
     void anAttemptEndsWithItsClient() throws Exception {
-        Server host = host((m, s) -> { });
+        Server host = host((m, s) -> {});
         Client c = client(nodeBefore(host));
         c.send(view("v", Sockets.PATIENCE_MS));
         assertNotNull(host.next());
@@ -371,7 +383,9 @@
         assertNotEquals(200, c.send(view("slow", 300)).receive().status());
         timeIsUp.countDown();
         for (int i = 0; i < 5; i++) {
-            assertEquals("for v" + i + " ", c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
         }
     }
 
@@ -380,18 +394,38 @@
         Server host = host(NodeTest::echo);
         Node node = nodeBefore(host);
         String good = view("v", 1000);
-        for (String bad : List.of(good.replace("X-Plan: free\r\n", ""), good.replace("X-Plan: free", "X-Plan: none"),
-                good.replace("/view/", "/nothing/"), good.replace("units=1", "units=x"),
-                good.replace("b4d65521", "zzd65521"), good.replace("In-Ms: 1000", "In-Ms: soon"),
-                good.replace("spread=1,", ""), good.replace("GET", "POST").replace("\r\n\r\n",
-                        "\r\nContent-Length: 0\r\n\r\n"),
-                order("o", "b").replace("Idempotency-Key", "X-Other"), "nonsense\r\n\r\n")) {
+        for (String bad : List.of(
+                good.replace("X-Plan: free\r\n", ""),
+                good.replace("X-Plan: free", "X-Plan: none"),
+                good.replace("/view/", "/nothing/"),
+                good.replace("units=1", "units=x"),
+                good.replace("b4d65521", "zzd65521"),
+                good.replace("In-Ms: 1000", "In-Ms: soon"),
+                good.replace("spread=1,", ""),
+                good.replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"),
+                order("o", "b").replace("Idempotency-Key", "X-Other"),
+                "nonsense\r\n\r\n")) {
             assertEquals(400, client(node).send(bad).receive().status(), bad);
         }
-        assertEquals(404, client(node).send("GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
-        assertEquals(413, client(node).send("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", 1000)
-                + "Idempotency-Key: k\r\nContent-Length: 33554433\r\n\r\n").receive().status());
-        assertEquals(200, client(node).send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").receive().status());
+        assertEquals(
+                404,
+                client(node)
+                        .send("GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .receive()
+                        .status());
+        assertEquals(
+                413,
+                client(node)
+                        .send("POST /order/x HTTP/1.1\r\nHost: h\r\n" + headers("o", 1000)
+                                + "Idempotency-Key: k\r\nContent-Length: 33554433\r\n\r\n")
+                        .receive()
+                        .status());
+        assertEquals(
+                200,
+                client(node)
+                        .send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+                        .receive()
+                        .status());
         assertEquals(List.of(), host.asked);
     }
 
@@ -400,9 +434,13 @@
         Server host = host(NodeTest::echo);
         Node node = nodeBefore(host);
         String open = order("o", "b").replace("Content-Length: 1\r\n\r\nb", "");
-        for (String length : List.of("Content-Length: 1\r\nTransfer-Encoding: chunked", "Transfer-Encoding: xchunked",
-                "Transfer-Encoding: gzip, chunked", "Content-Length: 1\r\nContent-Length: 2",
-                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Content-Length: 1, 2")) {
+        for (String length : List.of(
+                "Content-Length: 1\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Content-Length: 1\r\nContent-Length: 2",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Content-Length: 1, 2")) {
             String bad = open + length + "\r\n\r\n1\r\nb\r\n0\r\n\r\n";
             assertEquals(400, client(node).send(bad).receive().status(), length);
         }
@@ -415,18 +453,32 @@
         Node node = nodeBefore(host);
         String open = order("o", "").replace("Content-Length: 0\r\n\r\n", "");
         Client c = client(node);
-        String chunks = open + "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n";
+        String chunks = open
+                + "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n";
         assertEquals("for o abcde", c.send(chunks).receive().text());
         c.send(open + "Content-Length: 3\r\nExpect: 100-continue\r\n\r\n");
         assertEquals(100, c.receive().status());
         assertEquals("for o xyz", c.send("xyz").receive().text());
-        assertEquals(417, client(node).send(open + "Content-Length: 3\r\nExpect: more\r\n\r\n").receive().status());
-        assertEquals("for v ", c.send(view("v", Sockets.PATIENCE_MS).replace("/view", "http://h:1/view")).receive().text());
+        assertEquals(
+                417,
+                client(node)
+                        .send(open + "Content-Length: 3\r\nExpect: more\r\n\r\n")
+                        .receive()
+                        .status());
+        assertEquals(
+                "for v ",
+                c.send(view("v", Sockets.PATIENCE_MS).replace("/view", "http://h:1/view"))
+                        .receive()
+                        .text());
         assertEquals("GET /view/v?z=3 HTTP/1.1", host.asked.get(2).start());
         Client old = client(node);
         old.send(view("w", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0\r\nConnection: keep-alive"));
         assertEquals("keep-alive", old.receive().header("Connection"));
-        assertEquals(200, old.send(view("x", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0")).receive().status());
+        assertEquals(
+                200,
+                old.send(view("x", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0"))
+                        .receive()
+                        .status());
         assertNull(old.receive());
     }
 
@@ -479,8 +531,10 @@
                 s.setSoLinger(time == 1, 0);
                 s.close();
             });
-            Client c = client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0"));
-            String got = new String(c.socket.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.US_ASCII);
+            Client c =
+                    client(nodeBefore(host)).send(view("v", Sockets.PATIENCE_MS).replace("HTTP/1.1", "HTTP/1.0"));
+            String got =
+                    new String(c.socket.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.US_ASCII);
             assertTrue(got.startsWith("HTTP/1.1 200") && got.endsWith("\r\n\r\n" + body), got.split("\r\n\r\n")[0]);
             assertEquals(3, asked.get());
         }
@@ -631,12 +685,12 @@
         Client c = client(node);
         assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
         awaitWatches(1);
-        registry.news.add(list(2, false, entry("h0", old.address(), "draining"),
-                entry("h1", DEAD, "ready")));
+        registry.news.add(list(2, false, entry("h0", old.address(), "draining"), entry("h1", DEAD, "ready")));
         registry.news.add(list(3, false, entry("h1", fresh.address(), "ready")));
         awaitWatches(3);
         for (int i = 0; i < 5; i++) {
-            assertEquals(200, c.send(view("b" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200, c.send(view("b" + i, Sockets.PATIENCE_MS)).receive().status());
         }
         assertEquals(1, old.asked.size());
         assertEquals(5, fresh.asked.size());
@@ -650,7 +704,8 @@
         awaitWatches(1);
         registry.news.add(list(9, true, entry("h1", fresh.address(), "ready")));
         awaitWatches(2);
-        assertEquals(200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
+        assertEquals(
+                200, client(node).send(view("a", Sockets.PATIENCE_MS)).receive().status());
         assertEquals(0, old.asked.size());
     }
 
@@ -674,7 +729,10 @@
 
     private void awaitWatches(int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
-        while (registry.server.asked.stream().filter(m -> m.start().contains("from=")).count() < count) {
+        while (registry.server.asked.stream()
+                        .filter(m -> m.start().contains("from="))
+                        .count()
+                < count) {
             assertTrue(System.nanoTime() < end, "no watch came");
             Thread.sleep(5);
         }
@@ -694,8 +752,8 @@
             String mine = "127.0.0.1:" + port;
             Server host = host(NodeTest::echo);
             registry = kept(new Registry(list(1, true, entry("h0", host.address(), "ready"))));
-            Node node = Sockets.node(Sockets.config(registry.server.address(), mine, mine,
-                    "127.0.0.1:" + peer.getLocalPort()));
+            Node node = Sockets.node(
+                    Sockets.config(registry.server.address(), mine, mine, "127.0.0.1:" + peer.getLocalPort()));
             ends.push(node::stop);
             InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             for (DatagramSocket from : List.of(stranger, peer)) {
@@ -705,7 +763,8 @@
             }
             // Several customers, since the node itself keeps the books of some of them.
             for (int i = 0; i < 8; i++) {
-                String shared = view("s" + i, Sockets.PATIENCE_MS).replace("spread=1", "spread=2")
+                String shared = view("s" + i, Sockets.PATIENCE_MS)
+                        .replace("spread=1", "spread=2")
                         .replace("b4d65521", "b4d6552" + i);
                 assertEquals(200, client(node).send(shared).receive().status());
             }
@@ -760,7 +819,8 @@
         assertEquals("close", late.header("Connection"));
         assertNull(kept.receive());
         assertNull(idle.receive()); // closed without a request
-        assertEquals(200, client(node).send(view("m", Sockets.PATIENCE_MS)).receive().status()); // served to the end
+        assertEquals(
+                200, client(node).send(view("m", Sockets.PATIENCE_MS)).receive().status()); // served to the end
         operations.resume();
         operations.resume();
         Client back = client(node);
@@ -786,7 +846,11 @@
         Client c = client(node);
         assertEquals(200, c.send(view("a", Sockets.PATIENCE_MS)).receive().status());
         assertEquals(200, c.send(order("b", "x")).receive().status());
-        assertEquals(502, c.send(order("c", "x").replace("/order/x", "/order/broken")).receive().status());
+        assertEquals(
+                502,
+                c.send(order("c", "x").replace("/order/x", "/order/broken"))
+                        .receive()
+                        .status());
         String tiny = view("d", Sockets.PATIENCE_MS).replace("X-Plan: free", "X-Plan: tiny");
         assertEquals(200, c.send(tiny).receive().status());
         assertEquals(429, c.send(tiny).receive().status());
@@ -814,7 +878,7 @@
 
     @Test
     void aDrainEndsWhatAHostNeverAnswers() throws Exception {
-        Server host = host((m, s) -> { });
+        Server host = host((m, s) -> {});
         Node node = nodeBefore(host);
         Client c = client(node).send(order("o", "b"));
         assertNotNull(host.next());
@@ -833,24 +897,31 @@
     /** The meter's word is the module's only one on the other gateways' use; 0 means that there was none. */
     @Test
     void theModuleIsToldTheUseThatAnAnswerTells() throws Exception {
-        Deque<String> told = new ArrayDeque<>(List.of("", "X-Quota-Used: 0\r\n", "X-Quota-Used: 85\r\n",
-                "X-Quota-Used: TEXT ?\r\nX-Quota-Used: 31\r\n", "X-Quota-Used: %%%\r\n", "X-Quota-Used: -7\r\n"));
-        Server host = host((m, s) -> s.getOutputStream()
-                .write(bytes("HTTP/1.1 200 OK\r\n" + told.poll() + "Content-Length: 0\r\n\r\n")));
+        Deque<String> told = new ArrayDeque<>(List.of(
+                "",
+                "X-Quota-Used: 0\r\n",
+                "X-Quota-Used: 85\r\n",
+                "X-Quota-Used: TEXT ?\r\nX-Quota-Used: 31\r\n",
+                "X-Quota-Used: %%%\r\n",
+                "X-Quota-Used: -7\r\n"));
+        Server host = host((m, s) ->
+                s.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\n" + told.poll() + "Content-Length: 0\r\n\r\n")));
         List<Integer> heard = new CopyOnWriteArrayList<>();
-        Node node = scripted(act -> new Scripted((now, r) -> act.send(r.id(), "h0", 0),
-                r -> heard.add(r.usedPct())), entry("h0", host.address(), "ready"));
+        Node node = scripted(
+                act -> new Scripted((now, r) -> act.send(r.id(), "h0", 0), r -> heard.add(r.usedPct())),
+                entry("h0", host.address(), "ready"));
         awaitWatches(1);
         Client c = client(node);
         for (int i = 0; i < 6; i++) {
-            assertEquals(200, c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().status());
+            assertEquals(
+                    200, c.send(view("v" + i, Sockets.PATIENCE_MS)).receive().status());
         }
-        node.loop.submit(() -> { }).sync(); // the client's answer goes out before the module is told
+        node.loop.submit(() -> {}).sync(); // the client's answer goes out before the module is told
         assertEquals(List.of(0, 1, 86, 32, 0, 0), heard);
     }
 
     /** What the module forgets or breaks on is failed, not refused: it may have run (rules 1 and 2). */
-    private record Count(String name, Outcome outcome, double total) { }
+    private record Count(String name, Outcome outcome, double total) {}
 
     /** Answers come in the order of the calls; one without a number ends the connection, and calls go on on another. */
     @Test
@@ -864,7 +935,7 @@
                 .replace("\"max_units\"", "\"counter\": true, \"counter_timeout_ms\": 60000, \"max_units\"");
         Node node = Sockets.node(config, actions -> {
             acts[0] = actions;
-            return new Scripted((now, r) -> { }, end -> { }) {
+            return new Scripted((now, r) -> {}, end -> {}) {
                 @Override
                 public void counted(double now, String name, Outcome outcome, double total) {
                     heard.add(new Count(name, outcome, total));
@@ -881,8 +952,10 @@
             } while (refused != null);
             node.loop.submit(() -> acts[0].count("u2", -1, 4000)).sync();
             String call = "*4\r\n$6\r\nADDGET\r\n$2\r\nu1\r\n$3\r\n2.5\r\n$4\r\n4000\r\n";
-            assertEquals(call, new String(s.getInputStream().readNBytes(call.length()),
-                    java.nio.charset.StandardCharsets.US_ASCII));
+            assertEquals(
+                    call,
+                    new String(
+                            s.getInputStream().readNBytes(call.length()), java.nio.charset.StandardCharsets.US_ASCII));
             node.loop.submit(() -> acts[0].count("u3", 1, 4000)).sync();
             s.getOutputStream().write(bytes("$3\r\n7.5\r\n-BUSY later\r\n$4\r\n" + none + "\r\n"));
             assertEquals(new Count("u1", Outcome.OK, 7.5), heard.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
@@ -956,7 +1029,12 @@
         assertNotNull(host.next());
         Client first = client(node);
         for (int i = 0; i < 30; i++) {
-            assertEquals("for v" + i + " ", client(node).send(view("v" + i, Sockets.PATIENCE_MS)).receive().text());
+            assertEquals(
+                    "for v" + i + " ",
+                    client(node)
+                            .send(view("v" + i, Sockets.PATIENCE_MS))
+                            .receive()
+                            .text());
         }
         assertNull(first.receive());
         crowded.countDown();
@@ -965,9 +1043,13 @@
 
     @Test
     void aBadConfigurationIsOnePlainLine() {
-        for (String bad : List.of("[]", "{}", Sockets.config("nowhere", "127.0.0.1:0"),
+        for (String bad : List.of(
+                "[]",
+                "{}",
+                Sockets.config("nowhere", "127.0.0.1:0"),
                 Sockets.config("127.0.0.1:1", "127.0.0.1:0").replace("by_key", "by_luck"))) {
-            Exception e = assertThrows(RuntimeException.class,
+            Exception e = assertThrows(
+                    RuntimeException.class,
                     () -> NodeConfig.of(new com.fasterxml.jackson.databind.ObjectMapper().readTree(bad)));
             assertEquals(1, e.getMessage().lines().count());
         }
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -26,6 +26,7 @@
 
     @TempDir
     private Path dir;
+
     private Process process;
     private int port;
     private String known = Sockets.list(0, true);
@@ -43,11 +44,21 @@
 
     private void start(String config) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config);
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"", java(),
-                "-ea", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "deckfall.Main", "serve");
+        ProcessBuilder b = new ProcessBuilder(
+                "sh",
+                "-c",
+                "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"",
+                java(),
+                "-ea",
+                "-XX:+UseSerialGC",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "deckfall.Main",
+                "serve");
         b.environment().put("NODE_CONFIG", file.toString());
         process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(dir.resolve("log").toFile()).start();
+                .redirectError(dir.resolve("log").toFile())
+                .start();
     }
 
     private void startServing() throws Exception {
@@ -63,8 +74,8 @@
     }
 
     private String config(String discovery) {
-        return Sockets.config(discovery, "127.0.0.1:0").replace("127.0.0.1:0\", \"disc",
-                "127.0.0.1:" + port + "\", \"disc")
+        return Sockets.config(discovery, "127.0.0.1:0")
+                .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + port + "\", \"disc")
                 .replace("{\"version\": 0, \"full\": true, \"servers\": []}", known);
     }
 
@@ -142,10 +153,14 @@
     void oneLineTellsHowLongEachPartOfAStartTook() throws Exception {
         startServing();
         awaitLog("listener ");
-        String line = Files.readAllLines(dir.resolve("log")).stream().filter(l -> l.contains("ready in")).findFirst()
+        String line = Files.readAllLines(dir.resolve("log")).stream()
+                .filter(l -> l.contains("ready in"))
+                .findFirst()
                 .orElseThrow();
-        assertTrue(line.matches("ready in \\d+ ms: configuration \\d+, operator and siblings \\d+, warm-up \\d+, "
-                + "module and known list \\d+, discovery \\d+, listener \\d+"), line);
+        assertTrue(
+                line.matches("ready in \\d+ ms: configuration \\d+, operator and siblings \\d+, warm-up \\d+, "
+                        + "module and known list \\d+, discovery \\d+, listener \\d+"),
+                line);
     }
 
     private void hangup() throws Exception {
@@ -162,7 +177,8 @@
 
     @Test
     void sighupMovesItToTheNewDiscovery() throws Exception {
-        try (Registry first = new Registry(Sockets.list(1, true)); Registry second = new Registry(Sockets.list(7, true))) {
+        try (Registry first = new Registry(Sockets.list(1, true));
+                Registry second = new Registry(Sockets.list(7, true))) {
             startServing(first.server.address());
             awaitLog("rehearsed"); // only after this line is the signal heard
             Files.writeString(dir.resolve("config.json"), "half a conf");
@@ -192,8 +208,16 @@
     @Test
     void aReplacementServesOnAtTheInheritedListener() throws Exception {
         Path config = Files.writeString(dir.resolve("config.json"), Sockets.config("127.0.0.1:1", "127.0.0.1:0"));
-        ProcessBuilder built = new ProcessBuilder("perl", "-e", PLATFORM, java(), "-XX:+UseSerialGC", "-cp",
-                System.getProperty("java.class.path"), "deckfall.Main", "serve")
+        ProcessBuilder built = new ProcessBuilder(
+                        "perl",
+                        "-e",
+                        PLATFORM,
+                        java(),
+                        "-XX:+UseSerialGC",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "deckfall.Main",
+                        "serve")
                 .redirectError(dir.resolve("log").toFile());
         built.environment().put("TMPDIR", dir.toString());
         Process platform = built.start();
@@ -253,7 +277,11 @@
     }
 
     private static void signal(String name, long pid) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, Long.toString(pid))
+                        .start()
+                        .waitFor());
     }
 
     @Test
--- a/src/test/java/deckfall/net/RehearsalTest.java
+++ b/src/test/java/deckfall/net/RehearsalTest.java
@@ -23,9 +23,9 @@
     /** A request that no client sent must reach no host, and no client may reach a rehearsal: its address is taken. */
     @Test
     void itPlaysRequestsThatReachNobodyElse() throws Exception {
-        try (ServerSocket mine = new ServerSocket(0, 1, InetAddress.getLoopbackAddress()); Server host = new Server((m, s) -> s.getOutputStream().write(Sockets.ok("")));
-                Registry registry = new Registry(Sockets.list(1, true,
-                        Sockets.entry("h0", host.address(), "ready")))) {
+        try (ServerSocket mine = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Server host = new Server((m, s) -> s.getOutputStream().write(Sockets.ok("")));
+                Registry registry = new Registry(Sockets.list(1, true, Sockets.entry("h0", host.address(), "ready")))) {
             String text = Sockets.config(registry.server.address(), "127.0.0.1:0")
                     .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + mine.getLocalPort() + "\", \"disc");
             assertTrue(Rehearsal.warm(config(text), false) > 0);
@@ -38,8 +38,7 @@
     @Test
     void withoutPlansItRehearsesAndServes() throws Exception {
         try (Server host = new Server((m, s) -> s.getOutputStream().write(Sockets.ok("")));
-                Registry registry = new Registry(Sockets.list(1, true,
-                        Sockets.entry("h0", host.address(), "ready")))) {
+                Registry registry = new Registry(Sockets.list(1, true, Sockets.entry("h0", host.address(), "ready")))) {
             String text = Sockets.config(registry.server.address(), "127.0.0.1:0")
                     .replaceAll("(?s),\\s*\"plans\": \\[.*?\\]", "");
             assertTrue(Rehearsal.warm(config(text), false) > 0);
--- a/src/test/java/deckfall/net/Scripted.java
+++ b/src/test/java/deckfall/net/Scripted.java
@@ -23,14 +23,14 @@
     }
 
     Scripted(BiConsumer<Double, Request> script) {
-        this(script, r -> { });
+        this(script, r -> {});
     }
 
     @Override
-    public void start(double now, Settings settings) { }
+    public void start(double now, Settings settings) {}
 
     @Override
-    public void hosts(double now, ListKind kind, List<Host> hosts) { }
+    public void hosts(double now, ListKind kind, List<Host> hosts) {}
 
     @Override
     public void request(double now, Request r) {
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public void streamStarted(double now, String id, int attempt) { }
+    public void streamStarted(double now, String id, int attempt) {}
 
     @Override
     public void attemptEnded(double now, AttemptResult r) {
@@ -46,22 +46,22 @@
     }
 
     @Override
-    public void clientLeft(double now, String id) { }
+    public void clientLeft(double now, String id) {}
 
     @Override
-    public void timer(double now, String token) { }
+    public void timer(double now, String token) {}
 
     @Override
-    public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) { }
+    public void probed(double now, String host, Outcome outcome, double latencyMs, double[] report) {}
 
     @Override
-    public void peerSaid(double now, int peer, byte[] data) { }
+    public void peerSaid(double now, int peer, byte[] data) {}
 
     @Override
-    public void counted(double now, String counter, Outcome outcome, double total) { }
+    public void counted(double now, String counter, Outcome outcome, double total) {}
 
     @Override
-    public void besides(double now, int processes) { }
+    public void besides(double now, int processes) {}
 
     @Override
     public List<Remembered> remember(double now) {
@@ -69,7 +69,7 @@
     }
 
     @Override
-    public void recall(double now, List<Remembered> memory) { }
+    public void recall(double now, List<Remembered> memory) {}
 
     @Override
     public int avoided(double now) {
--- a/src/test/java/deckfall/net/Sockets.java
+++ b/src/test/java/deckfall/net/Sockets.java
@@ -28,7 +28,7 @@
     private static final int QUEUED = 2; // connections that a queue of one takes
     static final int PATIENCE_MS = 30_000; // how long a test waits for what must come
 
-    private Sockets() { }
+    private Sockets() {}
 
     /** An HTTP message as it came over a socket; {@code whole} is false where the connection ended inside it. */
     record Message(String start, Map<String, String> headers, byte[] body) {
@@ -59,7 +59,8 @@
         Map<String, String> headers = new TreeMap<>();
         for (int i = 1; i < lines.length; i++) {
             int colon = lines[i].indexOf(':');
-            headers.put(lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT),
                     lines[i].substring(colon + 1).trim());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
@@ -242,8 +243,8 @@
     }
 
     static String headers(String id, int expiresMs) {
-        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: "
-                + expiresMs + "\r\nX-Quota: units=1,spread=1,first=0\r\n";
+        return "X-Trace-Id: " + id + "\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: " + expiresMs
+                + "\r\nX-Quota: units=1,spread=1,first=0\r\n";
     }
 
     /** A node's configuration with one class that is safe to repeat and one keyed. */
--- a/src/test/java/deckfall/scale/HollowRunTest.java
+++ b/src/test/java/deckfall/scale/HollowRunTest.java
@@ -26,9 +26,25 @@
     }
 
     private static Map<String, Object> play(String... more) {
-        List<String> arguments = new ArrayList<>(List.of("--gateways", "10", "--servers", "20", "--tenants", "600",
-                "--rps", "1000", "--seconds", "3", "--warm-up-seconds", "2", "--classes", "5", "--counter-rate",
-                Integer.toString(COUNTER_RATE), "--counter-parts", Integer.toString(PARTS)));
+        List<String> arguments = new ArrayList<>(List.of(
+                "--gateways",
+                "10",
+                "--servers",
+                "20",
+                "--tenants",
+                "600",
+                "--rps",
+                "1000",
+                "--seconds",
+                "3",
+                "--warm-up-seconds",
+                "2",
+                "--classes",
+                "5",
+                "--counter-rate",
+                Integer.toString(COUNTER_RATE),
+                "--counter-parts",
+                Integer.toString(PARTS)));
         arguments.addAll(List.of(more));
         HollowOptions options = new HollowOptions();
         new CommandLine(options).setOverwrittenOptionsAllowed(true).parseArgs(arguments.toArray(new String[0]));
@@ -75,8 +91,22 @@
 
     /** Sets so wide that a gateway sees a customer once in a while, and a call for every other request. */
     private static Map<String, Object> playWideSets(String... more) {
-        return play(with(new String[] {"--gateways", "40", "--spread", "40", "--rps", "300", "--seconds", "10",
-            "--warm-up-seconds", "5", "--counter-rate", "250"}, more));
+        return play(with(
+                new String[] {
+                    "--gateways",
+                    "40",
+                    "--spread",
+                    "40",
+                    "--rps",
+                    "300",
+                    "--seconds",
+                    "10",
+                    "--warm-up-seconds",
+                    "5",
+                    "--counter-rate",
+                    "250"
+                },
+                more));
     }
 
     @ParameterizedTest
@@ -99,17 +129,29 @@
         assertTrue(number(f, "all_seeing_over_quota_price") < 0.02, f.toString());
         assertTrue(number(f, "all_seeing_served_worth_share") > 0.97, f.toString());
         assertTrue(number(f, "late_seeing_over_quota_price") > number(f, "all_seeing_over_quota_price"), f.toString());
-        assertEquals(number(f, "over_quota_price") - number(f, "late_seeing_over_quota_price"),
-                number(f, "over_quota_price_above_late_seeing"), 1e-4);
+        assertEquals(
+                number(f, "over_quota_price") - number(f, "late_seeing_over_quota_price"),
+                number(f, "over_quota_price_above_late_seeing"),
+                1e-4);
         assertTrue(number(f, "late_seeing_served_worth_share") > number(f, "served_worth_share"), f.toString());
     }
 
     /** What each fault is seen by; without one there is none of it. */
     @ParameterizedTest
-    @CsvSource({"server-replaced:1:3, lists_told", "server-replaced:1:3, hosts_newly_used_per_gateway",
-        "server-hanging:2:4, failed", "gateway-killed:2:2, no_gateway", "rack:2, lists_told", "zone:2, no_gateway",
-        "zone:2:0, calls_timeout", "region-cut:2, calls_timeout", "counter-silent:1, calls_timeout",
-        "counter-refusing:1, calls_refused", "counter-slow:1:100, calls_busy", "counter-empty:1, calls_timeout"})
+    @CsvSource({
+        "server-replaced:1:3, lists_told",
+        "server-replaced:1:3, hosts_newly_used_per_gateway",
+        "server-hanging:2:4, failed",
+        "gateway-killed:2:2, no_gateway",
+        "rack:2, lists_told",
+        "zone:2, no_gateway",
+        "zone:2:0, calls_timeout",
+        "region-cut:2, calls_timeout",
+        "counter-silent:1, calls_timeout",
+        "counter-refusing:1, calls_refused",
+        "counter-slow:1:100, calls_busy",
+        "counter-empty:1, calls_timeout"
+    })
     void aFaultShowsAndEveryTryHasItsAnswer(String fault, String seenBy) {
         Map<String, Object> calm = play(FAULTS_ASIDE);
         Map<String, Object> f = play(with(FAULTS_ASIDE, "--fault", "0.5:" + fault));
--- a/src/test/java/deckfall/scale/RealRunTest.java
+++ b/src/test/java/deckfall/scale/RealRunTest.java
@@ -22,9 +22,32 @@
 
     private static RealOptions options(String run) {
         RealOptions options = new RealOptions();
-        new CommandLine(options).parseArgs("--processes", "1", "--gateways", "3", "--servers", "8", "--zones", "2",
-                "--tenants", "60", "--rps", "150", "--seconds", "2", "--warm-up-seconds", "1", "--idle-seconds", "1",
-                "--settle-seconds", "0", "--service-ms", "5", "--run", run);
+        new CommandLine(options)
+                .parseArgs(
+                        "--processes",
+                        "1",
+                        "--gateways",
+                        "3",
+                        "--servers",
+                        "8",
+                        "--zones",
+                        "2",
+                        "--tenants",
+                        "60",
+                        "--rps",
+                        "150",
+                        "--seconds",
+                        "2",
+                        "--warm-up-seconds",
+                        "1",
+                        "--idle-seconds",
+                        "1",
+                        "--settle-seconds",
+                        "0",
+                        "--service-ms",
+                        "5",
+                        "--run",
+                        run);
         options.check();
         return options;
     }
--- a/src/test/java/deckfall/scale/ScaleTest.java
+++ b/src/test/java/deckfall/scale/ScaleTest.java
@@ -11,12 +11,33 @@
 /** The command line of the scale runs. */
 class ScaleTest {
     @ParameterizedTest
-    @ValueSource(strings = {"", "fish", "hollow --servers many", "hollow --servers 0", "hollow --seconds",
-        "hollow --bogus 1", "hollow more", "hollow --spread 101", "hollow --rps NaN", "hollow --zones 0",
-        "hollow --fault 3", "hollow --fault 3:fish:1", "hollow --fault x:rack:1", "hollow --fault 3:rack:1:-1",
-        "hollow --fault 3:rack:1:1:1", "hollow --fault 3:region-cut:1", "hollow --deadline-ms 1",
-        "real --processes 0", "real --processes 101", "real --fault 1:rack:1", "real --deploy /no/such/file",
-        "real --hollow 99", "hollow --json /no/such/folder/file", "hollow --seed 1.5"})
+    @ValueSource(
+            strings = {
+                "",
+                "fish",
+                "hollow --servers many",
+                "hollow --servers 0",
+                "hollow --seconds",
+                "hollow --bogus 1",
+                "hollow more",
+                "hollow --spread 101",
+                "hollow --rps NaN",
+                "hollow --zones 0",
+                "hollow --fault 3",
+                "hollow --fault 3:fish:1",
+                "hollow --fault x:rack:1",
+                "hollow --fault 3:rack:1:-1",
+                "hollow --fault 3:rack:1:1:1",
+                "hollow --fault 3:region-cut:1",
+                "hollow --deadline-ms 1",
+                "real --processes 0",
+                "real --processes 101",
+                "real --fault 1:rack:1",
+                "real --deploy /no/such/file",
+                "real --hollow 99",
+                "hollow --json /no/such/folder/file",
+                "hollow --seed 1.5"
+            })
     void aBadArgumentGetsOnePlainLineAndExitCodeTwo(String line) {
         StringWriter errors = new StringWriter();
         int code = Scale.run(new PrintWriter(errors, true), line.isEmpty() ? new String[0] : line.split(" "));
--- a/src/test/java/deckfall/wire/WireHostTest.java
+++ b/src/test/java/deckfall/wire/WireHostTest.java
@@ -39,8 +39,9 @@
 
     @Test
     void sendsARequestAndFailsItAfterAnError() throws IOException {
-        String reply = run(START + batch(2, 1001, DEMAND) + batch(3, 1002,
-                "COMPLETED op_id=r-1 hop=0 host=10.0.0.1:90 reason=Failed cost_time_ms=1.0\n"));
+        String reply = run(START
+                + batch(2, 1001, DEMAND)
+                + batch(3, 1002, "COMPLETED op_id=r-1 hop=0 host=10.0.0.1:90 reason=Failed cost_time_ms=1.0\n"));
         assertTrue(reply.contains("AT gateway_id=3\nPLACE op_id=r-1 host=10.0.0.1:90\nYIELD turn=2\n"), reply);
         assertTrue(reply.contains("AT gateway_id=3\nABORT op_id=r-1\nYIELD turn=3\n"), reply);
     }
@@ -67,8 +68,10 @@
             {START + batch(2, 1001, "SURPRISE a=1\n"), "line 10: unknown message 'SURPRISE'"},
             {START + batch(2, 1001, "DUE cookie\n"), "line 10: not a name=value pair: 'cookie'"},
             {START + batch(2, 1001, DEMAND.replace(" holder=7", "")), "line 10: missing field 'holder'"},
-            {START + batch(2, 1001, DEMAND.replace("holder=7", "holder=seven")),
-                "line 10: bad whole number in 'holder': 'seven'"},
+            {
+                START + batch(2, 1001, DEMAND.replace("holder=7", "holder=seven")),
+                "line 10: bad whole number in 'holder': 'seven'"
+            },
             {START + batch(2, 1001, "MEMBERSHIP epoch=1 how=F page=9\n"), "line 10: no CATALOG with page 9"},
             {"BEGIN_BATCH moment_ms=1 turn=1\n", "line 2: input ended inside a batch"},
         };
