--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -1,9 +1,6 @@
 package deckfall.net;
 
-import deckfall.Gateway.Effect;
-import deckfall.Gateway.Plan;
 import deckfall.Gateway.Request;
-import deckfall.Gateway.RequestClass;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -27,8 +24,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -42,10 +37,8 @@
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -67,15 +60,10 @@
     private static final int UNCOUNTED = 4096; // answers so small that they always find room
     private static final int SCHEME_END = 3;
     private static final double MS_PER_SECOND = 1000;
-    private static final int HEX = 16;
-    private static final int CUSTOMER_DIGITS = 16;
-    private static final long CUSTOMER_END = 1L << 33;
-    private static final int ID_MAX = 64;
     private static final String READY = "/healthz";
 
     private final Node node;
-    private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<String, Plan> plans = new HashMap<>();
+    private final RequestReader requests;
     private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // longest idle first
     private final AtomicInteger open = new AtomicInteger();
@@ -86,8 +74,7 @@
 
     ClientServer(Node node) {
         this.node = node;
-        node.config.settings().classes().forEach(c -> classes.put(c.name(), c));
-        node.config.settings().plans().forEach(p -> plans.put(p.name(), p));
+        requests = new RequestReader(node.config.settings());
         maxConnections = most(node.config.sockets());
     }
 
@@ -447,7 +434,7 @@
                 answer(HttpResponseStatus.EXPECTATION_FAILED, 0);
                 return;
             }
-            Request read = read(incoming);
+            Request read = requests.read(incoming, node.clock.now());
             if (read == null) {
                 answerUnread(incoming);
             } else if (refusesAll()) {
@@ -491,7 +478,7 @@
         private void whole(Incoming message) {
             message.end();
             if (current != null) { // taken before
-                Request read = read(message);
+                Request read = requests.read(message, node.clock.now());
                 node.bodyCame(current, read.deadlineMs());
             } else if (message.uri.equals(READY)) {
                 message.release();
@@ -502,7 +489,7 @@
         }
 
         private void take(Incoming message) {
-            Request read = read(message);
+            Request read = requests.read(message, node.clock.now());
             if (read == null) {
                 message.release();
                 answerUnread(message);
@@ -516,7 +503,7 @@
 
         private void answerUnread(Incoming message) {
             answer(
-                    message.head.headers().contains(Names.ID)
+                    message.head.headers().contains(HeaderNames.ID)
                             ? HttpResponseStatus.BAD_REQUEST
                             : HttpResponseStatus.NOT_FOUND,
                     0);
@@ -700,91 +687,4 @@
         int path = uri.indexOf('/', authority + SCHEME_END);
         return path < 0 ? "/" : uri.substring(path);
     }
-
-    /** Header names of the protocol. */
-    static final class Names {
-        static final String ID = "X-Trace-Id";
-        static final String PLAN = "X-Plan";
-        static final String CUSTOMER = "X-Customer";
-        static final String EXPIRES = "X-Expires-In-Ms";
-        static final String QUOTA = "X-Quota";
-        static final String RETRY = "X-Second-Try";
-        static final String KEY = "Idempotency-Key";
-
-        private Names() {}
-    }
-
-    /** The request as the module knows it, or null where it is missing or has malformed what it must say. */
-    private Request read(Incoming message) {
-        HttpHeaders h = message.head.headers();
-        String id = h.get(Names.ID);
-        RequestClass cls = classes.get(firstPart(message.uri));
-        String plan = h.get(Names.PLAN);
-        String customer = h.get(Names.CUSTOMER);
-        String expires = h.get(Names.EXPIRES);
-        String quota = h.get(Names.QUOTA);
-        boolean planned = plans.isEmpty() || plan != null && plans.containsKey(plan);
-        if (cls == null
-                || id == null
-                || id.isEmpty()
-                || id.length() > ID_MAX
-                || !planned
-                || customer == null
-                || customer.length() != CUSTOMER_DIGITS
-                || expires == null
-                || quota == null) {
-            return null;
-        }
-        boolean safe = cls.effect() == Effect.REPEATABLE;
-        boolean fits = message.head.method().equals(safe ? HttpMethod.GET : HttpMethod.POST);
-        if (!fits || cls.effect() == Effect.KEYED && !h.contains(Names.KEY)) {
-            return null;
-        }
-        try {
-            long number = Long.parseLong(customer, HEX);
-            long left = Integer.parseInt(expires);
-            double units = -1;
-            int spread = -1;
-            int first = -1;
-            for (String part : quota.split(",")) {
-                int equals = part.indexOf('=');
-                String value = part.substring(equals + 1).trim();
-                switch (equals < 0 ? "" : part.substring(0, equals).trim()) {
-                    case "units" -> units = Double.parseDouble(value);
-                    case "spread" -> spread = Integer.parseInt(value);
-                    case "first" -> first = Integer.parseInt(value);
-                    default -> {} // a later version may say more
-                }
-            }
-            boolean right = number >= 0
-                    && number < CUSTOMER_END
-                    && left > 0
-                    && units > 0
-                    && units < Integer.MAX_VALUE
-                    && spread > 0
-                    && first >= 0;
-            return !right
-                    ? null
-                    : new Request(
-                            id,
-                            Node.deadline(node.clock.now(), left),
-                            h.contains(Names.RETRY),
-                            cls.name(),
-                            number,
-                            plan,
-                            units,
-                            first,
-                            spread);
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
-    private static String firstPart(String uri) {
-        int end = 1;
-        while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
-            end++;
-        }
-        return uri.length() < 2 ? "" : uri.substring(1, end);
-    }
 }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -275,11 +275,11 @@
                 : new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), message.uri);
         HttpHeaders h = to.headers();
         h.set(HttpHeaderNames.HOST, HOST);
-        h.set(ClientServer.Names.ID, a.owner.traceId);
-        h.set(ClientServer.Names.EXPIRES, Long.toString((long) Math.max(1, a.owner.deadlineMs - node.clock.now())));
-        String key = from.headers().get(ClientServer.Names.KEY);
+        h.set(HeaderNames.ID, a.owner.traceId);
+        h.set(HeaderNames.EXPIRES, Long.toString((long) Math.max(1, a.owner.deadlineMs - node.clock.now())));
+        String key = from.headers().get(HeaderNames.KEY);
         if (key != null) {
-            h.set(ClientServer.Names.KEY, key);
+            h.set(HeaderNames.KEY, key);
         }
         String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
         if (type != null) {
