--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -25,6 +25,7 @@
         }
     }
 
+    /** What discovery tells of a host. */
     public enum HostState {
         RUNNING,
         DRAINING,
@@ -70,6 +71,7 @@
         PLACE
     }
 
+    /** What requests of one class may do, how long they may take and what they are worth. */
     public record RequestClass(
             String name,
             Effect effect,
@@ -109,6 +111,7 @@
         }
     }
 
+    /** What a gateway may do for one request, and whether it may talk to others. */
     public record Limits(
             int maxAttempts,
             boolean duplicates,
@@ -119,6 +122,7 @@
             double maxRetryAfterMs,
             double connectTimeoutMs) {}
 
+    /** The rules on drains, cold hosts and late answers; times in milliseconds. */
     public record Rules(
             double answerSlackMs,
             double drainGraceMs,
@@ -141,6 +145,7 @@
             double probePrice,
             double zonePrice) {}
 
+    /** All that a gateway is told at its start. */
     public record Settings(
             long seed,
             int me,
@@ -154,6 +159,7 @@
             Rules rules,
             Sharing sharing) {}
 
+    /** A host as discovery tells of it. */
     public record Host(
             String id, String zone, String kind, int cell, HostState state, double rating, double startedMs) {}
 
--- a/src/main/java/deckfall/wire/WireHost.java
+++ b/src/main/java/deckfall/wire/WireHost.java
@@ -111,6 +111,11 @@
         if (brain == null) {
             throw new WireFault("'" + name + "' for an instance that was not started: " + target);
         }
+        tell(now, brain, name, f);
+    }
+
+    /** An event of an instance that was started. */
+    private void tell(double now, Brain brain, String name, Fields f) {
         switch (name) {
             case "MEMBERSHIP" -> membership(now, brain, f);
             case "DEMAND" ->
--- a/src/test/java/deckfall/ColdFleet.java
+++ b/src/test/java/deckfall/ColdFleet.java
@@ -1,6 +1,13 @@
 package deckfall;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.HostState;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.Rules;
+import deckfall.Gateway.Settings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/test/java/deckfall/CounterTest.java
+++ b/src/test/java/deckfall/CounterTest.java
@@ -3,7 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Plan;
+import deckfall.Gateway.Refusal;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/deckfall/DecisionsTest.java
+++ b/src/test/java/deckfall/DecisionsTest.java
@@ -1,8 +1,15 @@
 package deckfall;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.HostState;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.RequestClass;
 import deckfall.State.ClassState;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/src/test/java/deckfall/FakeGateway.java
+++ b/src/test/java/deckfall/FakeGateway.java
@@ -1,6 +1,21 @@
 package deckfall;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Effect;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.HostState;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Plan;
+import deckfall.Gateway.Refusal;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.RequestClass;
+import deckfall.Gateway.Rules;
+import deckfall.Gateway.Scope;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/src/test/java/deckfall/GuardsTest.java
+++ b/src/test/java/deckfall/GuardsTest.java
@@ -1,8 +1,17 @@
 package deckfall;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Host;
+import deckfall.Gateway.HostState;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.ListKind;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Request;
+import deckfall.Gateway.Settings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/deckfall/MeterTest.java
+++ b/src/test/java/deckfall/MeterTest.java
@@ -2,7 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import deckfall.Gateway.*;
+import deckfall.Gateway.AttemptResult;
+import deckfall.Gateway.Limits;
+import deckfall.Gateway.Outcome;
+import deckfall.Gateway.Plan;
+import deckfall.Gateway.Settings;
+import deckfall.Gateway.Sharing;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/src/test/java/deckfall/PartsTest.java
+++ b/src/test/java/deckfall/PartsTest.java
@@ -1,6 +1,9 @@
 package deckfall;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/test/java/deckfall/wire/WireHostTest.java
+++ b/src/test/java/deckfall/wire/WireHostTest.java
@@ -1,6 +1,8 @@
 package deckfall.wire;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
