Name the admission estimate, the counter's verdict and unreported usage by their terms

Chances is AdmissionEstimate, Told CounterVerdict, known evidence; what no call has added yet is unreported, the units that a call adds for a request are requested, those for the requests it stands for its sampled weight.

--- a/src/main/java/deckfall/Brain.java
+++ b/src/main/java/deckfall/Brain.java
@@ -1,6 +1,6 @@
 package deckfall;
 
-import deckfall.Chances.Told;
+import deckfall.AdmissionEstimate.CounterVerdict;
 import deckfall.Gateway.*;
 import deckfall.State.*;
 import java.util.*;
@@ -106,7 +106,7 @@
     private final Map<String, Ask> asks = new LinkedHashMap<>();
     private final ArrayDeque<Peer> outbox = new ArrayDeque<>();
     private final LinkedHashSet<Ask> questions = new LinkedHashSet<>();
-    private final LinkedHashSet<Customer> uncounted = new LinkedHashSet<>();
+    private final LinkedHashSet<Customer> unreportedCustomers = new LinkedHashSet<>();
     private final LinkedHashSet<Server> watched = new LinkedHashSet<>();
     private final List<Server> usable = new ArrayList<>();
     private final List<Server> homes = new ArrayList<>();
@@ -116,7 +116,7 @@
     private int epoch;
     private double startedAt, boundAt, sweptAt, delayAt, donateAt, mailAt, surveyedAt;
     private CallBudget budget;
-    private Chances[] chances;
+    private AdmissionEstimate[] estimates;
     private final ExcessEstimate excess = new ExcessEstimate();
     private double margin = MARGIN_START;
     private double counterToldAt = State.NEVER;
@@ -151,8 +151,8 @@
         }
         for (int i = 0; i < settings.plans().size(); i++) planNumbers.put(settings.plans().get(i).name(), i);
         budget = new CallBudget(now, settings.sharing().counterTimeoutMs(), peers.length);
-        chances = new Chances[settings.plans().size()];
-        Arrays.setAll(chances, i -> new Chances());
+        estimates = new AdmissionEstimate[settings.plans().size()];
+        Arrays.setAll(estimates, i -> new AdmissionEstimate());
         boundAt = sweptAt = delayAt = donateAt = mailAt = surveyedAt = now;
         if (settings.subscribe()) act.watchHosts();
         act.timer(TICK_MS, "beat");
@@ -238,7 +238,7 @@
         act.timer(TICK_MS, "beat");
         expire(now);
         missAnswers(now);
-        addUncounted(now);
+        reportUsage(now);
         if (now - surveyedAt >= SURVEY_MS) survey(now);
         watchHealth(now);
         adaptBound(now);
@@ -370,7 +370,7 @@
             if (now - c.toldAt > SYNC_MS) changed(now, c);
             return Verdict.OUT;
         }
-        if (limited) ask.known = known(now, ask);
+        if (limited) ask.evidence = evidence(now, ask);
         if (limited && wide(c)) return judgeWide(now, ask);
         boolean asks = set.limits().peers() && c.spread > 1;
         int keeper = keeper(now, c, 0);
@@ -380,7 +380,7 @@
                 || (asks || counts(c)) && now - c.newsAt < FRESH_MS && c.level - reserve(now, c) >= units;
         boolean ceiling = p.ceilingRate() <= 0 || c.ceiling >= units; // rule 5: own units need no peer
         if (room && ceiling) return Verdict.IN;
-        ask.wish = units;
+        ask.requested = units;
         if (counts(c) && ceiling && draws(now, ask, chance(ask))) return Verdict.COUNT;
         return asks ? Verdict.ASK : Verdict.OUT;
     }
@@ -409,12 +409,13 @@
         double units = ask.request.units();
         if (!set.sharing().counter()) return c.tokens >= units || spares(c, units) ? Verdict.IN : Verdict.OUT;
         boolean in = guess(now, ask);
-        if (!in && c.told(now, recallMs(c.plan)) == Told.EMPTY) return Verdict.OUT; // asked a moment ago
+        boolean foundEmpty = c.verdict(now, recallMs(c.plan)) == CounterVerdict.EMPTY;
+        if (!in && foundEmpty) return Verdict.OUT; // asked a moment ago
         boolean asks = draws(now, ask, in ? risk(now, ask) : chance(ask));
         if (!asks && in) adaptMargin(ask, chance(ask));
         if (!asks) return in ? Verdict.IN : Verdict.OUT;
-        ask.wish = chance(ask) >= 0.5 ? units : 0; // otherwise it is added once it is let in
-        ask.others = in ? units * (1 / (ask.share * budget.granted()) - 1) : 0;
+        ask.requested = chance(ask) >= 0.5 ? units : 0; // otherwise it is added once it is let in
+        ask.sampledWeight = in ? units * (1 / (ask.share * budget.granted()) - 1) : 0;
         return Verdict.COUNT;
     }
 
@@ -425,7 +426,7 @@
     }
 
     private double chance(Ask ask) {
-        return chances[ask.customer.planNumber].of(ask.known);
+        return estimates[ask.customer.planNumber].of(ask.evidence);
     }
 
     /** What a guess to let in may cost in the mean, in times of the worth; more by the margin. */
@@ -451,12 +452,12 @@
     }
 
     /** What is known of a request's customer without asking: what the counter and the meter told last. */
-    private int known(double now, Ask ask) {
+    private int evidence(double now, Ask ask) {
         Customer c = ask.customer;
         double perPeriod = c.plan.rate() * set.sharing().meterPeriodMs() / 1000;
         double metered = now - c.meterAt < recallMs(c.plan) ? (c.usedPct - 1) / 100.0 * perPeriod : 0;
         boolean hot = metered > Math.max(perPeriod, CONCURRENT * set.sharing().maxUnits());
-        return Chances.known(ask.request.retry(), hot, c.told(now, recallMs(c.plan)));
+        return AdmissionEstimate.evidence(ask.request.retry(), hot, c.verdict(now, recallMs(c.plan)));
     }
 
     /** What the others may have used since a keeper told, as far as it matters against the excess cost. */
@@ -493,7 +494,7 @@
         c.level = Math.max(-c.plan.burst(), Math.min(c.plan.burst(), c.level - units));
         c.spare -= units;
         c.used += units;
-        if (counts(c) && !wide(c)) owe(c, units);
+        if (counts(c) && !wide(c)) addUnreported(c, units);
         c.uses.add(now, units);
         c.unsent += ceilingUnits;
         c.ceiling -= ceilingUnits;
@@ -569,7 +570,7 @@
     private void callCounter(double now, Customer c) {
         if (wide(c)) c.window = c.windowAt(now, COUNT_LIFE_MS);
         c.beginCall(now);
-        uncounted.remove(c);
+        unreportedCustomers.remove(c);
         budget.spend(now);
         act.count(c.counter(wide(c)), c.calling, COUNT_LIFE_MS);
     }
@@ -584,7 +585,7 @@
         if (told) counterToldAt = now;
         if (told && wide(c)) learnWindow(now, c, total);
         else if (told) learnTotal(now, c, total);
-        if (outcome.neverRan()) c.uncounted += c.calling - c.adjusted;
+        if (outcome.neverRan()) c.unreported += c.calling - c.adjusted;
         if (!told) c.adjusted = 0; // by the next answer it shows whether it is still due
         List<Ask> asked = c.asking;
         c.asking = List.of();
@@ -593,17 +594,17 @@
             Ask next = c.pending.poll();
             decide(now, next, wide(c) && guess(now, next));
         }
-        owe(c, 0);
+        addUnreported(c, 0);
         if (!c.pending.isEmpty() || wide(c) && told && worthCalling(now, c)) callCounter(now, c);
         c.adjusting = 0;
         post(now);
     }
 
     /** What the next call is to add to a customer's count, or to take off it. */
-    private void owe(Customer c, double units) {
-        c.uncounted += units;
-        if (c.uncounted == 0) uncounted.remove(c);
-        else uncounted.add(c);
+    private void addUnreported(Customer c, double units) {
+        c.unreported += units;
+        if (c.unreported == 0) unreportedCustomers.remove(c);
+        else unreportedCustomers.add(c);
     }
 
     /** In a wide set what is let in is counted here; elsewhere it is charged anew. */
@@ -614,23 +615,23 @@
         if (told) learnRoom(now, ask, room);
         boolean in = room && !ask.done && openAdmits(now, c);
         ask.counted = in && wide(c);
-        c.uncounted += (ask.counted ? units : 0) - ask.wish;
-        if (told && !room) c.uncounted -= ask.others; // excess takes nothing
+        c.unreported += (ask.counted ? units : 0) - ask.requested;
+        if (told && !room) c.unreported -= ask.sampledWeight; // excess takes nothing
         if (ask.counted) adaptMargin(ask, told ? 1 : chance(ask));
         if (!ask.done) decide(now, ask, in);
     }
 
     private void learnRoom(double now, Ask ask, boolean room) {
         Customer c = ask.customer;
-        chances[c.planNumber].learn(ask.known, room);
+        estimates[c.planNumber].learn(ask.evidence, room);
         ask.refusal = room ? Refusal.OPEN : Refusal.QUOTA; // if it is not let in
-        c.told = !room ? Told.EMPTY : c.level < c.plan.burst() / 2 ? Told.LOW : Told.ROOM;
+        c.verdict = CounterVerdict.of(room, c.fullness());
     }
 
     /** What is to be put right in a count has a worth too, and waits where calls save more elsewhere. */
     private boolean worthCalling(double now, Customer c) {
         double each = wide(c) ? GIVE_BACK : c.spread * (1 - c.fullness());
-        double units = Math.min(c.plan.burst(), each * Math.abs(c.uncounted) + c.adjusting);
+        double units = Math.min(c.plan.burst(), each * Math.abs(c.unreported) + c.adjusting);
         return units > 0 && budget.has(now) && units * c.plan.price() * meanWorth >= budget.price(now);
     }
 
@@ -649,7 +650,7 @@
     private void learnWindow(double now, Customer c, double total) {
         double seconds = c.inWindowMs(now, COUNT_LIFE_MS) / 1000;
         double left = c.plan.burst() + c.plan.rate() * seconds - (total - c.wantedUnits());
-        if (c.adjusted > 0 && left < c.plan.burst() - c.adjusted / 2) c.uncounted -= c.adjusted;
+        if (c.adjusted > 0 && left < c.plan.burst() - c.adjusted / 2) c.unreported -= c.adjusted;
         c.adjusted = 0;
         double lapsed = left - c.plan.burst();
         c.adjusting = lapsed > OVERFULL * c.plan.burst() ? lapsed : 0;
@@ -657,12 +658,12 @@
     }
 
     /** What was let in by the own part is to be known to the others too, by and by. */
-    private void addUncounted(double now) {
-        if (uncounted.isEmpty()) return;
-        for (Customer c : new ArrayList<>(uncounted)) {
+    private void reportUsage(double now) {
+        if (unreportedCustomers.isEmpty()) return;
+        for (Customer c : new ArrayList<>(unreportedCustomers)) {
             boolean ended = wide(c) && c.window != c.windowAt(now, COUNT_LIFE_MS);
-            if (ended) c.uncounted = 0; // its name counts no more
-            if (c.uncounted == 0) uncounted.remove(c);
+            if (ended) c.unreported = 0; // its name counts no more
+            if (c.unreported == 0) unreportedCustomers.remove(c);
             else if (!c.called && now - c.calledAt >= COUNT_MS && worthCalling(now, c)) callCounter(now, c);
         }
     }
@@ -974,7 +975,7 @@
         if (ask.attempts.stream().allMatch(a -> a.moot)) { // let in but never sent: the units go back
             c.unsent += ask.attempts.isEmpty() ? 0 : ask.request.units(); // taken off as it was to leave
             charge(now, c, -ask.request.units(), -ask.request.units());
-            if (ask.counted) owe(c, -ask.request.units());
+            if (ask.counted) addUnreported(c, -ask.request.units());
         }
     }
 
@@ -1165,7 +1166,7 @@
                 c.noteDelay(0, r.latencyMs());
                 if (ask.customer != null && set.sharing().postPaid() && r.trueUnits() > 0) {
                     charge(now, ask.customer, r.trueUnits() - ask.request.units(), 0);
-                    if (ask.counted) owe(ask.customer, r.trueUnits() - ask.request.units());
+                    if (ask.counted) addUnreported(ask.customer, r.trueUnits() - ask.request.units());
                 }
             }
             // No connection: down or full, the host takes nothing from us now; one is enough.
@@ -1200,7 +1201,7 @@
     private void sweep(double now) {
         if (now - sweptAt < SWEEP_MS) return;
         sweptAt = now;
-        uncounted.removeIf(c -> now - c.touchedAt > FORGET_MS);
+        unreportedCustomers.removeIf(c -> now - c.touchedAt > FORGET_MS);
         customers.values().removeIf(c -> now - c.touchedAt > FORGET_MS && c.open == 0 && c.pending.isEmpty());
         servers.values().removeIf(s -> !s.listed && s.out.isEmpty());
     }
--- a/src/main/java/deckfall/State.java
+++ b/src/main/java/deckfall/State.java
@@ -157,13 +157,14 @@
         double totalAt = NEVER;
         double letInAt = NEVER;
         double calledAt = NEVER;
-        double uncounted; // units used here that no call has added yet; below nothing: to be given back
+        double unreported; // units used here that no call has added yet; below nothing: to be given back
         double calling; // units that the call under way adds
         boolean called; // a call is under way
         long window; // by the clock, of the name that it adds to, in a wide set
         double adjusting; // units that have lapsed unused, to be added by the next call
         double adjusted; // and by the call under way
-        Chances.Told told = Chances.Told.NOTHING; // by the counter, when it was asked last
+        AdmissionEstimate.CounterVerdict verdict =
+                AdmissionEstimate.CounterVerdict.NOTHING; // by the counter, when it was asked last
         List<Ask> asking = List.of(); // requests whose units it carries
 
         Customer(long id, int planNumber, Plan plan, int first, int spread, int[] keepers, double now) {
@@ -202,7 +203,7 @@
 
         /** What the own part filled again while the store stood full is not owed to the count. */
         void lapse(double units) {
-            if (uncounted > 0) uncounted = Math.max(0, uncounted - units);
+            if (unreported > 0) unreported = Math.max(0, unreported - units);
         }
 
         /** All that waits to be asked and added goes with one call. */
@@ -211,15 +212,17 @@
             pending.clear();
             adjusted = adjusting;
             adjusting = 0;
-            calling = uncounted + adjusted + wantedUnits();
-            uncounted = 0;
+            calling = unreported + adjusted + wantedUnits();
+            unreported = 0;
             called = true;
             calledAt = now;
         }
 
         /** Units that the call under way adds for the requests that it asks for, and for those that these stand for. */
         double wantedUnits() {
-            return asking.stream().mapToDouble(a -> a.wish + a.others).sum();
+            return asking.stream()
+                    .mapToDouble(a -> a.requested + a.sampledWeight)
+                    .sum();
         }
 
         /** A total of the counter and what it shows of the store, from which excess takes nothing. */
@@ -279,9 +282,11 @@
         }
 
         /** What this gateway learned of its store itself, as long as that tells of it. */
-        Chances.Told told(double now, double forMs) {
-            if (now - totalAt < forMs) return told;
-            return now - letInAt < forMs ? Chances.Told.USED : Chances.Told.NOTHING;
+        AdmissionEstimate.CounterVerdict verdict(double now, double forMs) {
+            if (now - totalAt < forMs) return verdict;
+            return now - letInAt < forMs
+                    ? AdmissionEstimate.CounterVerdict.USED
+                    : AdmissionEstimate.CounterVerdict.NOTHING;
         }
 
         double fullness() {
@@ -425,9 +430,9 @@
         boolean admitted;
         Gateway.Refusal refusal = Gateway.Refusal.PART; // why, if it is refused
         double share; // of such requests for which a call is made
-        int known; // what was known of its customer when it came
-        double wish; // units that its call adds for itself
-        double others; // and for those that are let in unasked
+        int evidence; // what was known of its customer when it came
+        double requested; // units that its call adds for itself
+        double sampledWeight; // and for those that are let in unasked
         boolean counted; // its own units are in the total
         boolean done;
         boolean streaming;
