Log why each client's connection ends, and count those that owe an answer

The tally now counts each close by its reason, and a connection that this program closes while a whole request on it has been read and not answered is told as a defect and counted as CLOSED_UNANSWERED.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -142,7 +142,7 @@
         for (Connection c : new LinkedHashSet<>(idle)) {
             if (c.usedAt <= before) {
                 stirredAt = node.clock.now();
-                c.channel.close();
+                c.close(CloseReason.DRAINED);
             }
         }
     }
@@ -184,6 +184,7 @@
         private final SocketChannel channel;
         private final StrictRequestDecoder decoder;
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+        private CloseReason closeReason; // null while the client alone could end it
         private int waitingBytes;
         private Future<?> unseen; // ends the time for which its client's leaving may not be seen
         private boolean lastAnswer; // the connection ends with the answer that is being passed on
@@ -212,7 +213,7 @@
                 Connection longest = idle.iterator().next();
                 idle.remove(longest); // now, as its end is told only later
                 connections.remove(longest);
-                longest.channel.close();
+                longest.close(CloseReason.SHED);
             }
             connections.add(this);
             open.set(connections.size());
@@ -221,17 +222,28 @@
             stirredAt = usedAt;
             headSince = usedAt; // a stranger's time counts from its connecting
             if (connections.size() + node.othersClients() > maxConnections) {
-                channel.close();
+                close(CloseReason.NO_DESCRIPTOR);
             }
         }
 
+        /** Ends it without a further answer; a client that ends it meanwhile goes first. */
+        private void close(CloseReason why) {
+            idle.remove(this);
+            connections.remove(this); // now, as its end is told only later
+            open.set(connections.size());
+            if (closeReason == null && channel.isActive()) {
+                closeReason = why;
+            }
+            channel.close();
+        }
+
         /** Silence, or a request that never becomes whole: whoever it is may be waiting for a word. */
         private void expelIfLate(double now) {
             if (transfer != null) {
                 transfer.cutIfStalled(now);
             } else if (dropping) {
                 if (now - usedAt > DROP_MS) {
-                    channel.close();
+                    close(CloseReason.SLOW);
                 }
             } else if (incoming != null) {
                 double ms = now - incoming.sinceMs;
@@ -251,7 +263,7 @@
             if (incoming != null && !ended) {
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             } else if (!busy && !ended) {
-                channel.close();
+                close(CloseReason.DRAINED);
             }
         }
 
@@ -271,6 +283,7 @@
             connections.remove(this);
             open.set(connections.size());
             idle.remove(this);
+            node.connectionEnded(closeReason == null ? CloseReason.CLIENT : closeReason, unanswered());
             dropWaiting();
             ended = true;
             if (unseen != null) {
@@ -293,7 +306,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (dropping && message instanceof LastHttpContent) {
-                channel.close();
+                close(CloseReason.ANSWERED);
             }
             if (ended) {
                 ReferenceCountUtil.release(message);
@@ -303,6 +316,13 @@
             account(bytes(message));
         }
 
+        /** How many whole requests have been read and not been answered, nor begun to be. */
+        private int unanswered() {
+            long whole =
+                    waiting.stream().filter(m -> m instanceof LastHttpContent).count();
+            return (int) whole + (current != null && current.message.whole() ? 1 : 0);
+        }
+
         /**
          * What has been read is looked at in a turn of its own: the first attempt reads the connection once more, and
          * inside a read that can't be done.
@@ -578,8 +598,10 @@
         /** The rest of the answer will not come: a reset is the one end that nobody takes for a whole answer. */
         void cut() {
             transfer = null;
-            channel.config().setSoLinger(0);
-            channel.close();
+            if (channel.isActive()) {
+                channel.config().setSoLinger(0);
+            }
+            close(CloseReason.CUT_OFF);
         }
 
         void answer(HttpResponseStatus status, double retryAfterMs) {
@@ -644,7 +666,7 @@
                 sent.addListener(f -> channel.shutdownOutput());
                 channel.config().setAutoRead(true);
             } else {
-                sent.addListener(ChannelFutureListener.CLOSE);
+                sent.addListener(f -> close(CloseReason.ANSWERED));
             }
         }
 
@@ -661,10 +683,11 @@
         }
 
         private void broken(Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            boolean network = cause instanceof IOException;
+            if (!network) {
                 Node.log("defect: a client's connection ended by " + cause);
             }
-            channel.close();
+            close(network ? CloseReason.BROKEN : CloseReason.DEFECT);
         }
     }
 
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -362,6 +362,15 @@
         return drain.on();
     }
 
+    /** A client's connection has ended; what it had asked is owed, unless the client has gone. */
+    void connectionEnded(CloseReason why, int unanswered) {
+        tally.closed(why);
+        if (unanswered > 0 && why != CloseReason.CLIENT && why != CloseReason.BROKEN) {
+            tally.add(Tally.Count.CLOSED_UNANSWERED);
+            log("defect: " + unanswered + " requests unanswered on a connection closed as " + why);
+        }
+    }
+
     /** What an operator may ask of this node. */
     Operator.Gateway operations() {
         return new Operator.Gateway() {
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -21,13 +21,15 @@
         CUT_OFF,
         UNREADABLE,
         SURPLUS,
-        CLOSED_EARLY
+        CLOSED_EARLY,
+        CLOSED_UNANSWERED
     }
 
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
     private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
     private final Map<Outcome, Long> calls = new EnumMap<>(Outcome.class); // to the counter
     private final Map<Refusal, Long> refusals = new EnumMap<>(Refusal.class);
+    private final Map<CloseReason, Long> closes = new EnumMap<>(CloseReason.class); // of clients' connections
     private int lines;
 
     void add(Count what) {
@@ -46,6 +48,10 @@
         refusals.merge(why, 1L, Long::sum);
     }
 
+    void closed(CloseReason why) {
+        closes.merge(why, 1L, Long::sum);
+    }
+
     /** Counts it and, while the period has lines left, tells of which request. */
     void note(Count what, String id, String host, String why) {
         add(what);
@@ -61,10 +67,12 @@
         attempts.forEach((outcome, count) -> line.add("attempts_" + outcome + "=" + count));
         calls.forEach((outcome, count) -> line.add("calls_" + outcome + "=" + count));
         refusals.forEach((why, count) -> line.add("refused_" + why + "=" + count));
+        closes.forEach((why, count) -> line.add("closed_" + why + "=" + count));
         counts.clear();
         attempts.clear();
         calls.clear();
         refusals.clear();
+        closes.clear();
         lines = 0;
         return line.length() == 0 ? null : line.toString();
     }
