Count the time of a request that waits its turn from when it was read

Cause: Connection.next took the time of its own turn for each message that had waited. Each part is now kept with the time at which it was read, and the deadline follows from that; one whose time is over by its turn is refused at once.

CrossingTest.theTimeOfARequestThatWaitsItsTurnGoesOn failed before (the whole 20 s were told where half was over).

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -179,11 +179,14 @@
         }
     }
 
+    /** A part of a request, and when it was read. */
+    private record Arrival(HttpObject message, double atMs) {}
+
     /** One client connection: one request at a time, in order; what is sent ahead waits its turn. */
     final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
         private final StrictRequestDecoder decoder;
-        private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+        private final ArrayDeque<Arrival> waiting = new ArrayDeque<>();
         private CloseReason closeReason; // null while the client alone could end it
         private int waitingBytes;
         private Future<?> unseen; // ends the time for which its client's leaving may not be seen
@@ -200,6 +203,7 @@
         private boolean dropping; // what still comes of a body that nobody wants
         private double headSince; // when a head that is not whole began to come
         private double usedAt;
+        private double arrivedAt; // when what is being looked at was read: its client's time goes on from there
 
         Connection(SocketChannel channel, StrictRequestDecoder decoder) {
             this.channel = channel;
@@ -312,14 +316,15 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
-            waiting.add((HttpObject) message);
+            waiting.add(new Arrival((HttpObject) message, node.clock.now()));
             account(bytes(message));
         }
 
         /** How many whole requests have been read and not been answered, nor begun to be. */
         private int unanswered() {
-            long whole =
-                    waiting.stream().filter(m -> m instanceof LastHttpContent).count();
+            long whole = waiting.stream()
+                    .filter(a -> a.message() instanceof LastHttpContent)
+                    .count();
             return (int) whole + (current != null && current.message.whole() ? 1 : 0);
         }
 
@@ -367,14 +372,16 @@
         }
 
         private void dropWaiting() {
-            waiting.forEach(ReferenceCountUtil::release);
+            waiting.forEach(a -> ReferenceCountUtil.release(a.message()));
             waiting.clear();
             account(-waitingBytes);
         }
 
         private void next() {
             while (!ended && !waiting.isEmpty() && (incoming != null || !busy)) {
-                HttpObject message = waiting.poll();
+                Arrival next = waiting.poll();
+                HttpObject message = next.message();
+                arrivedAt = next.atMs();
                 account(-bytes(message));
                 try {
                     if (message instanceof HttpRequest head) {
@@ -454,7 +461,7 @@
                 answer(HttpResponseStatus.EXPECTATION_FAILED, 0);
                 return;
             }
-            Request read = requests.read(incoming, node.clock.now());
+            Request read = requests.read(incoming, arrivedAt);
             if (read == null) {
                 answerUnread(incoming);
             } else if (refusesAll()) {
@@ -498,7 +505,7 @@
         private void whole(Incoming message) {
             message.end();
             if (current != null) { // taken before
-                Request read = requests.read(message, node.clock.now());
+                Request read = requests.read(message, arrivedAt);
                 node.bodyCame(current, read.deadlineMs());
             } else if (message.uri.equals(READY)) {
                 message.release();
@@ -509,11 +516,11 @@
         }
 
         private void take(Incoming message) {
-            Request read = requests.read(message, node.clock.now());
+            Request read = requests.read(message, arrivedAt);
             if (read == null) {
                 message.release();
                 answerUnread(message);
-            } else if (refusesAll()) {
+            } else if (refusesAll() || node.clock.now() >= read.deadlineMs()) {
                 message.release();
                 refuseAtDoor(read);
             } else {
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -174,6 +174,26 @@
         }
     }
 
+    /** A request that was sent behind another told its server the time from when its turn came. */
+    @Test
+    void theTimeOfARequestThatWaitsItsTurnGoesOn() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server host = kept(new Server((m, s) -> {
+            await(go);
+            echo(m, s);
+        }));
+        Node node = node(sending("h0"), c -> c, entry("h0", host.address(), "ready"));
+        clock.stands = true;
+        int ms = Sockets.PATIENCE_MS;
+        Client c = client(node).send(Sockets.view("first", ms) + Sockets.view("second", ms));
+        assertNotNull(host.next());
+        node.loop.submit(() -> {}).sync(); // both have been read
+        clock.aheadMs = ms / 2;
+        go.countDown();
+        assertEquals("for first", c.receive().text());
+        assertTrue(Integer.parseInt(host.next().header("X-Expires-In-Ms")) <= ms / 2);
+    }
+
     /** It holds its place in the queue no longer, and none at a host. */
     @Test
     void aRequestWhoseClientLeftWhileItWasHeldIsNeverSent() throws Exception {
