Accept again milliseconds after an accept that failed, not a second

Cause: after any failed accept Netty's ServerBootstrapAcceptor stops reading the listener for a second. The system has accepted the connections that wait meanwhile, so what is asked on them is taken, and deadlines are 0.4 s. Evidence: the losses come in a block of one second after the first failure; kept connections go on; ECONNABORTED, which Java tries again by itself, loses nothing. A handler before Netty's tries again after 5 ms and tells one line a second. The same holds for the operator's listener.

Class: a framework's reaction to a failed call that is longer than a deadline.

--- /dev/null
+++ b/src/main/java/deckfall/net/AcceptRetry.java
@@ -0,0 +1,54 @@
+package deckfall.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Accepts again a moment after an accept that failed. The connection that it was for stays in the listener's queue with
+ * its client's request; without this handler Netty accepts nothing for a second, which is longer than many deadlines.
+ */
+final class AcceptRetry extends ChannelInboundHandlerAdapter {
+    static final long RETRY_MS = 5;
+    private static final long TELL_EVERY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Runnable makeRoom;
+    private long toldNanos; // when the log last told of a failure
+    private boolean told;
+    private boolean stopped;
+
+    /** {@code makeRoom} is called after each failure: no descriptor may have been left. */
+    AcceptRetry(Runnable makeRoom) {
+        this.makeRoom = makeRoom;
+    }
+
+    /** Nothing more is accepted on the channel from here on, on its event loop. */
+    void stop(Channel listener) {
+        stopped = true;
+        listener.config().setAutoRead(false);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        tell(cause);
+        makeRoom.run();
+        ctx.channel().config().setAutoRead(false); // else the loop would do nothing but try
+        ctx.executor().schedule(() -> resume(ctx), RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tell(Throwable cause) {
+        long now = System.nanoTime();
+        if (!told || now - toldNanos > TELL_EVERY_NANOS) {
+            Node.log("accept: " + cause.getMessage() + ", tried again every " + RETRY_MS + " ms");
+            toldNanos = now;
+        }
+        told = true;
+    }
+
+    private void resume(ChannelHandlerContext ctx) {
+        if (!stopped && ctx.channel().isOpen()) {
+            ctx.channel().config().setAutoRead(true);
+        }
+    }
+}
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -68,6 +68,7 @@
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // longest idle first
     private final AtomicInteger open = new AtomicInteger();
     private final int maxConnections;
+    private final AcceptRetry acceptRetry = new AcceptRetry(() -> {});
     private Channel listener;
     private double stirredAt;
     private boolean sharesListener;
@@ -96,6 +97,7 @@
                 .group(node.group)
                 .channelFactory(
                         () -> sharesListener ? new NioServerSocketChannel(inherited) : new NioServerSocketChannel())
+                .handler(acceptRetry)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers())
@@ -129,9 +131,8 @@
      * another process's too, and as closing an inherited channel takes the standard streams along.
      */
     void stopAccepting() {
-        if (sharesListener) {
-            listener.config().setAutoRead(false);
-        } else {
+        acceptRetry.stop(listener);
+        if (!sharesListener) {
             listener.close();
         }
     }
--- a/src/main/java/deckfall/net/Operator.java
+++ b/src/main/java/deckfall/net/Operator.java
@@ -61,6 +61,7 @@
             listener = new ServerBootstrap()
                     .group(group)
                     .channel(NioServerSocketChannel.class)
+                    .handler(new AcceptRetry(() -> {}))
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/src/test/java/deckfall/soak/SoakTest.java
+++ b/src/test/java/deckfall/soak/SoakTest.java
@@ -33,7 +33,6 @@
 
     /** Clients on new connections waited for a second, past their deadlines, after one failed accept. */
     @Test
-    @Tag("known-red")
     void requestsAreAnsweredWhileAcceptFailsForMoments() throws Exception {
         assertKept(11, 4, "accept,ENFILE,20,2000,500", !CROWDED, !RESTARTED, SoakOptions.USUAL_SOCKETS);
     }
