Keep connections whose reads and writes fail for a moment

On connections to servers interrupted reads failed or refused 732 of 2,288 requests.

Cause: Java tells an interrupted read by a count of -3, which Netty takes for the end of the stream, as it does any count below 0; so an answer that the end of its connection bounds would also pass as whole when it is cut there. And Netty closes a connection on any failed read or write.

RetryingSocketChannel leaves EINTR, ENOBUFS and ENOMEM to the loop's next turn, for a second at most. On clients' connections so are ETIMEDOUT, EHOSTUNREACH and the like: where the connection has ended, the next read says so; on servers' they stay the end, as what follows could be taken for the end of an answer. The time for which calls failed counts against the client's time. An accept that failed is told to the connection behind it in the same way.

SoakTest's tests with EINTR and ENOBUFS failed before and pass now.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -15,8 +15,6 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -95,15 +93,15 @@
         node.loop.scheduleAtFixedRate(this::watch, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(node.group)
-                .channelFactory(
-                        () -> sharesListener ? new NioServerSocketChannel(inherited) : new NioServerSocketChannel())
+                .channelFactory(() ->
+                        sharesListener ? new RetryingServerSocketChannel(inherited) : new RetryingServerSocketChannel())
                 .handler(acceptRetry)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBuffers())
-                .childHandler(new ChannelInitializer<SocketChannel>() {
+                .childHandler(new ChannelInitializer<RetryingSocketChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(RetryingSocketChannel ch) {
                         StrictRequestDecoder decoder = new StrictRequestDecoder();
                         ch.pipeline().addLast(decoder, new HttpResponseEncoder(), new Connection(ch, decoder));
                     }
@@ -185,7 +183,7 @@
 
     /** One client connection: one request at a time, in order; what is sent ahead waits its turn. */
     final class Connection extends ChannelInboundHandlerAdapter {
-        private final SocketChannel channel;
+        private final RetryingSocketChannel channel;
         private final StrictRequestDecoder decoder;
         private final ArrayDeque<Arrival> waiting = new ArrayDeque<>();
         private CloseReason closeReason; // null while the client alone could end it
@@ -206,7 +204,7 @@
         private double usedAt;
         private double arrivedAt; // when what is being looked at was read: its client's time goes on from there
 
-        Connection(SocketChannel channel, StrictRequestDecoder decoder) {
+        Connection(RetryingSocketChannel channel, StrictRequestDecoder decoder) {
             this.channel = channel;
             this.decoder = decoder;
         }
@@ -317,7 +315,7 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
-            waiting.add(new Arrival((HttpObject) message, node.clock.now()));
+            waiting.add(new Arrival((HttpObject) message, node.clock.now() - channel.readDelayMs()));
             account(bytes(message));
         }
 
@@ -336,6 +334,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             idle.remove(this); // a close would lose what has been read
+            channel.readDelayOver();
             node.loop.execute(this::look);
         }
 
--- a/src/main/java/deckfall/net/CounterClient.java
+++ b/src/main/java/deckfall/net/CounterClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -64,7 +63,7 @@
     private void connect() {
         new Bootstrap()
                 .group(node.loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()))
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -93,7 +92,7 @@
     private void connect() {
         Bootstrap b = new Bootstrap()
                 .group(node.loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timing.patienceMs())
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -87,7 +86,7 @@
         this.maxConnections = most(node.config.sockets());
         this.bootstrap = new Bootstrap()
                 .group(node.loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, ClientServer.readBuffers())
--- a/src/main/java/deckfall/net/Operator.java
+++ b/src/main/java/deckfall/net/Operator.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -60,7 +59,7 @@
         try {
             listener = new ServerBootstrap()
                     .group(group)
-                    .channel(NioServerSocketChannel.class)
+                    .channelFactory(RetryingServerSocketChannel::new)
                     .handler(new AcceptRetry(() -> {}))
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
--- /dev/null
+++ b/src/main/java/deckfall/net/RetryingSocketChannel.java
@@ -0,0 +1,82 @@
+package deckfall.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+
+/**
+ * A connection that outlives reads and writes that fail for a moment. Netty takes an interrupted read, which Java tells
+ * by a count below -1, for the end of the connection, and closes a connection on any failed read or write.
+ */
+final class RetryingSocketChannel extends NioSocketChannel {
+    private static final int END_OF_STREAM = -1;
+    private static final double LONGEST_SPELL_MS = 1000; // then it counts as broken
+
+    private final boolean accepted; // from a client, to whom an answer is owed whatever its way back reports
+    private double readDelayMs;
+    private final FailureSpell reads = new FailureSpell();
+    private final FailureSpell writes = new FailureSpell();
+
+    /** One that is yet to be connected. */
+    RetryingSocketChannel() {
+        accepted = false;
+    }
+
+    /** One that a listener has accepted, after a spell of failures in which it may have waited for so long. */
+    RetryingSocketChannel(Channel listener, SocketChannel socket, double waitedMs) {
+        super(listener, socket);
+        accepted = true;
+        readDelayMs = waitedMs;
+    }
+
+    /** How long the bytes that are being read may have waited, at most, for calls that failed. */
+    double readDelayMs() {
+        return readDelayMs;
+    }
+
+    /** What is read from here on has come since. */
+    void readDelayOver() {
+        readDelayMs = 0;
+    }
+
+    private boolean passes(IOException e, FailureSpell spell) {
+        return (TransientErrors.ofTheSystem(e) || accepted && TransientErrors.ofTheWay(e))
+                && spell.failed() < LONGEST_SPELL_MS;
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf to) throws Exception {
+        int read;
+        try {
+            read = super.doReadBytes(to);
+        } catch (IOException e) {
+            if (passes(e, reads)) {
+                return 0; // what waits is read in the loop's next turn
+            }
+            throw e;
+        }
+        if (read < END_OF_STREAM) { // interrupted
+            reads.failed();
+            return 0;
+        }
+        readDelayMs = Math.max(readDelayMs, reads.over());
+        return read;
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer from) throws Exception {
+        try {
+            super.doWrite(from);
+        } catch (IOException e) {
+            if (!passes(e, writes)) {
+                throw e;
+            }
+            setOpWrite(); // the rest is written in the loop's next turn
+            return;
+        }
+        writes.over();
+    }
+}
--- a/src/test/java/deckfall/soak/SoakTest.java
+++ b/src/test/java/deckfall/soak/SoakTest.java
@@ -46,14 +46,12 @@
 
     /** An interrupted read was taken for the end of the connection, whose request then got no answer. */
     @Test
-    @Tag("known-red")
     void requestsAreAnsweredWhileReadsAreInterrupted() throws Exception {
         assertKept(11, 4, "read,EINTR,100,300,0", !CROWDED, !RESTARTED, SoakOptions.USUAL_SOCKETS);
     }
 
     /** A write for which there was no buffer for a moment closed the connection under its answer. */
     @Test
-    @Tag("known-red")
     void requestsAreAnsweredWhileWritesFindNoBuffer() throws Exception {
         assertKept(11, 4, "write,ENOBUFS,20,500,0,client", !CROWDED, !RESTARTED, SoakOptions.USUAL_SOCKETS);
     }
