Answer what has been read ahead before a drain ends its connection

Cause: Connection.prepare made each answer of a drain the last one of its connection, whatever waited behind it. It now reads the connection once more and says close only where nothing more has come; each further request gets its answer, or its refusal once the drain's time is up.

DrainTest.whatWasReadAheadIsAnsweredInADrain failed before.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -240,6 +240,12 @@
             channel.close();
         }
 
+        private void readNow() {
+            if (channel.isActive() && channel.config().isAutoRead()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+        }
+
         /** Silence, or a request that never becomes whole: whoever it is may be waiting for a word. */
         private void expelIfLate(double now) {
             if (transfer != null) {
@@ -430,9 +436,7 @@
 
         /** Whether the client has closed its connection, also where the loop has been too busy to hear of it. */
         boolean gone() {
-            if (channel.isActive() && channel.config().isAutoRead()) {
-                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-            }
+            readNow();
             return !channel.isActive();
         }
 
@@ -638,7 +642,8 @@
 
         /** Settles whether the connection goes on after this answer. */
         private void prepare(HttpResponse response) {
-            ended = !keepAlive || unbounded || node.draining() || incoming != null;
+            boolean last = !keepAlive || unbounded || incoming != null;
+            ended = last || node.draining() && !moreHasCome();
             if (ended) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (oldVersion) {
@@ -646,6 +651,12 @@
             }
         }
 
+        /** Whether some of a further request has been read already, which would get no answer behind the last one. */
+        private boolean moreHasCome() {
+            readNow();
+            return !waiting.isEmpty() || decoder.holdsBytes();
+        }
+
         /** What follows an answer; {@code sent} is needed where it is the last one. */
         private void answered(ChannelFuture sent) {
             current = null;
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -13,6 +13,7 @@
 import deckfall.Brain;
 import deckfall.Gateway.Settings;
 import deckfall.net.Sockets.Client;
+import deckfall.net.Sockets.Message;
 import deckfall.net.Sockets.Registry;
 import deckfall.net.Sockets.Server;
 import io.netty.channel.EventLoop;
@@ -21,6 +22,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -95,6 +97,27 @@
         assertTrue(node.awaitDrained(Sockets.PATIENCE_MS));
     }
 
+    /** Requests that had been sent several at once, and read, were dropped with the first answer in a drain. */
+    @Test
+    void whatWasReadAheadIsAnsweredInADrain() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Server host = kept(new Server((m, s) -> {
+            assertTrue(go.await(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            s.getOutputStream().write(Sockets.ok(m.header("X-Trace-Id")));
+        }));
+        Node node = node(entry("h0", host.address(), "ready"));
+        int ms = Sockets.PATIENCE_MS;
+        Client c = client(node).send(view("one", ms) + view("two", ms) + view("three", ms));
+        assertNotNull(host.next());
+        node.operations().quiesce();
+        go.countDown();
+        assertEquals("one", c.receive().text());
+        assertEquals("two", c.receive().text());
+        Message last = c.receive();
+        assertEquals("three", last.text());
+        assertEquals("close", last.header("Connection"));
+    }
+
     @Test
     void whatIsHeldAtTheEndAndWasNeverSentIsRefused() throws Exception {
         Node node = node();
