--- a/src/main/java/deckfall/soak/ClientLoad.java
+++ b/src/main/java/deckfall/soak/ClientLoad.java
@@ -14,6 +14,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -221,10 +222,12 @@
         private void sendSlowly(Request r) {
             String message = message(r);
             int cut = 1 + random.nextInt(message.length() - 2);
+            r.whole = false;
             channel.writeAndFlush(text(message.substring(0, cut)));
             loop.schedule(
                     () -> {
                         r.sentAt = Ledger.nowMs();
+                        r.whole = true;
                         channel.writeAndFlush(text(message.substring(cut)));
                     },
                     random.nextInt(60),
@@ -253,6 +256,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (response.decoderResult().cause() instanceof PrematureChannelClosureException) {
+                begun = true; // the end of the connection follows
+                return;
+            }
             Request r = waiting.poll();
             if (r == null || response.decoderResult().isFailure()) {
                 ledger.broken(Ledger.Rule.WRONG_ANSWER, "an answer that nobody asked for, or unreadable: " + response);
@@ -294,6 +301,8 @@
             }
             if (ledger.excused(r)) {
                 ledger.ended(r, End.KILLED);
+            } else if (!r.whole) {
+                ledger.ended(r, End.NEVER_TAKEN); // its last byte had not been written
             } else if (begun && r.brokenOff) {
                 ledger.ended(r, End.CUT_SHORT);
             } else if (used && !begun && !partly && !r.resent) {
--- a/src/main/java/deckfall/soak/GatewayUnderTest.java
+++ b/src/main/java/deckfall/soak/GatewayUnderTest.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 /**
@@ -40,6 +42,10 @@
             }
             """;
 
+    private static final int LEAST_PORT = 12_000; // below those that the system gives to outgoing connections
+    private static final int PORT_MASK = 0x3fff;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) ProcessHandle.current().pid() * 64);
     private static final int CALL_MS = 500; // to the operator's address
     private static final long END_MS = 5000;
 
@@ -148,9 +154,15 @@
                 .toList();
     }
 
+    /** A port that no outgoing connection is given, as it has to stay free while a process is replaced. */
     static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return free.getLocalPort();
+        while (true) {
+            int port = LEAST_PORT + (NEXT_PORT.getAndIncrement() & PORT_MASK);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // in use; the next one may be free
+            }
         }
     }
 
--- a/src/main/java/deckfall/soak/Ledger.java
+++ b/src/main/java/deckfall/soak/Ledger.java
@@ -58,6 +58,7 @@
         double sentAt;
         volatile double leftAt = Double.NaN;
         volatile boolean brokenOff; // a server broke its answer off
+        boolean whole = true; // its last byte has been written
         boolean resent;
         End end;
 
