Read an idle connection once more before it is closed

Cause: closeIdle and closeAll judged by what the loop had read. A connection is closed now only if a read in the same turn finds nothing, no part of a request is held, and that read has not failed for the moment.

DrainTest.whatHasComeByTheDrainsEndIsAnswered fails without the change.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -138,8 +138,8 @@
     /** Closes the connections on which nothing has been asked for so long. */
     void closeIdle(double quietMs) {
         double before = node.clock.now() - quietMs;
-        for (Connection c : new LinkedHashSet<>(idle)) {
-            if (c.usedAt <= before) {
+        for (Connection c : List.copyOf(idle)) {
+            if (c.usedAt <= before && c.quiet()) {
                 stirredAt = node.clock.now();
                 c.close(CloseReason.DRAINED);
             }
@@ -240,6 +240,17 @@
             channel.close();
         }
 
+        /** Whether a close would lose nothing, not even what has come and the loop has not seen yet. */
+        private boolean quiet() {
+            readNow();
+            return !busy
+                    && !ended
+                    && incoming == null
+                    && waiting.isEmpty()
+                    && !decoder.holdsBytes()
+                    && !channel.readFails();
+        }
+
         private void readNow() {
             if (channel.isActive() && channel.config().isAutoRead()) {
                 ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
@@ -268,6 +279,7 @@
         }
 
         private void closeUnanswered() {
+            readNow();
             next(); // what has been read is a request
             if (incoming != null && !ended) {
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
--- a/src/main/java/deckfall/net/RetryingSocketChannel.java
+++ b/src/main/java/deckfall/net/RetryingSocketChannel.java
@@ -37,6 +37,11 @@
         return readDelayMs;
     }
 
+    /** Whether the last read failed for the moment: what has come is not known then. */
+    boolean readFails() {
+        return reads.on();
+    }
+
     /** What is read from here on has come since. */
     void readDelayOver() {
         readDelayMs = 0;
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -118,6 +118,23 @@
         assertEquals("close", last.header("Connection"));
     }
 
+    /** A request that had come, and that the loop had not read yet, was reset with its idle connection. */
+    @Test
+    void whatHasComeByTheDrainsEndIsAnswered() throws Exception {
+        Node node = node();
+        Client known = client(node);
+        assertEquals(200, known.send("GET /healthz HTTP/1.1\r\n\r\n").receive().status());
+        node.loop
+                .submit(() -> {
+                    known.send(view("v", Sockets.PATIENCE_MS)); // in a turn of the loop, which can't read meanwhile
+                    node.drain();
+                    node.answerAll();
+                    return null;
+                })
+                .sync();
+        assertEquals(503, known.receive().status());
+    }
+
     @Test
     void whatIsHeldAtTheEndAndWasNeverSentIsRefused() throws Exception {
         Node node = node();
