Go on telling the other process whatever the folder or the wall clock does

What callers saw: two processes of one gateway that do not know of each other each keep the whole share of descriptors and quotas, and at the limit close new connections unread.

Causes, by reading and by tests that fail without the mend: the thread that tells ended with the first unchecked exception (a folder that fails while it is listed throws one); a process that could not write for 1.5 s, or whose file could not be read just then, was taken for gone; and the files' times were Unix times of clocks anchored at each start, so that after a step of the wall clock between two starts the processes did not see each other, and a memory that was handed over was off by the step.

SiblingWatch has the thread now: no failure ends it, what was read last holds where nothing can be read, a process that lives counts for 30 s without a word, and times are of the machine's monotonic clock.

--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -202,7 +202,26 @@
             double meterPart,
             double meterAt,
             double total,
-            double totalAt) {}
+            double totalAt) {
+        /** The same with its times on a clock that is ahead by so many milliseconds. */
+        public Remembered shifted(double ms) {
+            return new Remembered(
+                    customer,
+                    plan,
+                    first,
+                    spread,
+                    tokens,
+                    level,
+                    spare,
+                    meterTotal,
+                    meterOwn,
+                    meterSeconds,
+                    meterPart,
+                    meterAt + ms,
+                    total,
+                    totalAt + ms);
+        }
+    }
 
     /** Everything that a gateway sees; {@code now} is the only clock, in milliseconds. */
     public interface Events {
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -212,7 +212,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             // Rather an idle client's connection than no descriptor left for anyone.
-            if (connections.size() + node.othersClients() >= maxConnections && !idle.isEmpty()) {
+            if (connections.size() + node.others().clients() >= maxConnections && !idle.isEmpty()) {
                 Connection longest = idle.iterator().next();
                 idle.remove(longest); // now, as its end is told only later
                 connections.remove(longest);
@@ -224,7 +224,7 @@
             usedAt = node.clock.now();
             stirredAt = usedAt;
             headSince = usedAt; // a stranger's time counts from its connecting
-            if (connections.size() + node.othersClients() > maxConnections) {
+            if (connections.size() + node.others().clients() > maxConnections) {
                 close(CloseReason.NO_DESCRIPTOR);
             }
         }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -246,7 +246,7 @@
 
     /** Makes room for one more connection at the cost of one that is idle somewhere. */
     private boolean room() {
-        if (connections + node.othersHosts() < maxConnections) {
+        if (connections + node.others().hosts() < maxConnections) {
             return true;
         }
         for (Pool pool : pools.values()) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -27,9 +27,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -76,11 +75,11 @@
     private boolean rehearsing;
     private Path configFile; // null where the configuration came from elsewhere
     private volatile boolean rereading;
-    private Beside beside; // set before the start, where another process may serve as this gateway
+    private SiblingWatch siblings; // set before the start, where another process may serve as this gateway
     private List<Remembered> recalled = List.of();
     private int processes = 1;
-    private volatile int othersClients;
-    private volatile int othersHosts;
+    private SiblingWatch.Siblings others = SiblingWatch.Siblings.NONE;
+    private SiblingWatch.Siblings told = SiblingWatch.Siblings.NONE; // what others have last heard of this process
     private volatile boolean ending; // by SIGTERM: no operator takes that back
     private boolean over; // the drain's time is up: nothing more is sent
     private long repeats;
@@ -121,9 +120,7 @@
                 new Operator(config.operator(), node.operations()).start(); // it says no until clients are taken
             }
             if (inherited != null && System.getenv("TMPDIR") != null) {
-                node.beside(new Beside(
-                        Path.of(System.getenv("TMPDIR")),
-                        ProcessHandle.current().pid()));
+                node.besides(Path.of(System.getenv("TMPDIR")));
             }
             times.ended("operator and siblings");
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
@@ -289,40 +286,48 @@
         }
     }
 
-    /** Tells other processes of this one from here on, on a thread of its own, as files may be slow. */
-    private void beside(Beside files) {
-        beside = files;
-        ScheduledExecutorService beat = Executors.newSingleThreadScheduledExecutor(r -> {
-            Thread t = new Thread(r, "beside");
-            t.setDaemon(true);
-            return t;
+    /** Other processes that serve as this gateway are told of this one from here on, by files in a folder. */
+    SiblingWatch besides(Path folder) {
+        Beside files = new Beside(folder, ProcessHandle.current().pid());
+        siblings = new SiblingWatch(files, clock, new SiblingWatch.Gateway() {
+            @Override
+            public boolean takesClients() {
+                return serving && !ending;
+            }
+
+            @Override
+            public int clientConnections() {
+                return clients.connections();
+            }
+
+            @Override
+            public int hostConnections() {
+                return hosts.connections();
+            }
+
+            @Override
+            public List<Remembered> memory() throws InterruptedException, ExecutionException, TimeoutException {
+                return loop.submit(() -> module.remember(clock.now()))
+                        .get(SiblingWatch.MEMORY_MS, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public void siblings(SiblingWatch.Siblings seen) {
+                loop.execute(() -> heard(seen));
+            }
+
+            @Override
+            public void told(SiblingWatch.Siblings own) {
+                loop.execute(() -> told = own);
+            }
         });
-        beat.scheduleWithFixedDelay(this::tellBeside, 0, Beside.BEAT_MS, TimeUnit.MILLISECONDS);
+        siblings.start();
+        return siblings;
     }
 
-    private void tellBeside() {
-        try {
-            List<Beside.Note> others = beside.others(clock.now());
-            boolean takes = serving && !ending;
-            boolean asked = takes && others.stream().anyMatch(n -> !n.serving()); // by one that starts
-            List<Remembered> memory =
-                    asked ? loop.submit(() -> module.remember(clock.now())).get() : List.of();
-            beside.write(new Beside.Note(
-                    ProcessHandle.current().pid(),
-                    clock.now(),
-                    takes,
-                    clients.connections(),
-                    hosts.connections(),
-                    memory));
-            othersClients = others.stream().mapToInt(Beside.Note::clients).sum();
-            othersHosts = others.stream().mapToInt(Beside.Note::hosts).sum();
-            int count = 1 + (int) others.stream().filter(Beside.Note::serving).count();
-            loop.execute(() -> share(count));
-        } catch (IOException | ExecutionException e) {
-            log("not told to other processes: " + e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private void heard(SiblingWatch.Siblings seen) {
+        others = seen;
+        share(1 + seen.serving());
     }
 
     private void share(int count) {
@@ -333,23 +338,15 @@
         }
     }
 
-    /** Connections from clients that other processes of this gateway hold of the same descriptors. */
-    int othersClients() {
-        return othersClients;
-    }
-
-    /** The same of connections to hosts. */
-    int othersHosts() {
-        return othersHosts;
+    /** What other processes of this gateway were last heard to hold. */
+    SiblingWatch.Siblings others() {
+        return others;
     }
 
     /** What a process that serves now remembers; it is shared out as soon as this one serves too. */
     private void recall() {
-        if (beside != null) {
-            beside.others(clock.now()).stream()
-                    .filter(Beside.Note::serving)
-                    .findFirst()
-                    .ifPresent(n -> recalled = n.memory());
+        if (siblings != null) {
+            recalled = siblings.memoryOfOther();
             log("recalled " + recalled.size() + " customers of another process");
         }
     }
@@ -713,8 +710,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        if (beside != null) {
-            beside.remove();
+        if (siblings != null) {
+            siblings.stop();
         }
         Runtime.getRuntime().halt(0);
     }
--- a/src/test/java/deckfall/net/BesideTest.java
+++ b/src/test/java/deckfall/net/BesideTest.java
@@ -48,4 +48,29 @@
     void aFolderThatIsGoneIsNoOtherProcess() throws Exception {
         assertEquals(List.of(), new Beside(folder.resolve("none"), 2).others(NOW));
     }
+
+    /** A process whose disk was full for a while was taken for gone, and the other one's limits for its own alone. */
+    @Test
+    void aProcessThatLivesAndCanNotWriteIsStillThere() throws Exception {
+        long alive = ProcessHandle.current().pid();
+        Note note = new Note(alive, NOW, true, 5, 6, MEMORY);
+        new Beside(folder, alive).write(note);
+        assertEquals(List.of(note), new Beside(folder, 2).others(NOW + 5000));
+        assertEquals(List.of(), new Beside(folder, 2).others(NOW + 60_000));
+    }
+
+    /** The same where its file, or the folder, could not be read. */
+    @Test
+    void whatCanNotBeReadJustNowIsAsItWasBefore() throws Exception {
+        Note note = new Note(1, NOW, true, 5, 6, MEMORY);
+        new Beside(folder, 1).write(note);
+        Beside two = new Beside(folder, 2);
+        assertEquals(List.of(note), two.others(NOW));
+        Files.writeString(folder.resolve("gateway-1.json"), "{\"pid\": 1, \"atMs\"");
+        assertEquals(List.of(note), two.others(NOW + 400));
+        Files.delete(folder.resolve("gateway-1.json"));
+        Files.delete(folder);
+        assertEquals(List.of(note), two.others(NOW + 800));
+        assertEquals(List.of(), two.others(NOW + 60_000));
+    }
 }
