Count only failures that follow one another as a spell

Found by the soak's crowds and by reading: a connection is read once more before it is judged idle. Where that read failed for the moment with nothing to read, the spell that it began lasted until the next request, seconds later: its client's time was taken to have gone on for as long, so it was refused, or another failure in that moment ended the connection.

A failure over 50 ms after the last one begins a spell of its own: what still waits is tried in the loop's next turn.

--- a/src/main/java/deckfall/net/FailureSpell.java
+++ b/src/main/java/deckfall/net/FailureSpell.java
@@ -1,34 +1,48 @@
 package deckfall.net;
 
-/** How long calls of one kind have been failing in a row, in real time. */
+import java.util.function.LongSupplier;
+
+/**
+ * How long calls of one kind have been failing in a row, in real time. A call that still matters is made again in the
+ * loop's next turn; one that is not, as nothing waits for it, says nothing of the time until the next one.
+ */
 final class FailureSpell {
     private static final double NANOS_PER_MS = 1e6;
+    private static final double LONGEST_GAP_MS = 50; // between two failures of one spell
+
+    private final LongSupplier clockNanos;
+    private boolean failing; // the last call has failed
+    private long firstNanos;
+    private long lastNanos;
 
-    private boolean on;
-    private long sinceNanos;
+    FailureSpell() {
+        this(System::nanoTime);
+    }
+
+    FailureSpell(LongSupplier clockNanos) {
+        this.clockNanos = clockNanos;
+    }
 
     /** A call has failed; how many milliseconds ago the first one of the spell did. */
     double failed() {
-        if (!on) {
-            on = true;
-            sinceNanos = System.nanoTime();
+        boolean begins = !on();
+        failing = true;
+        lastNanos = clockNanos.getAsLong();
+        if (begins) {
+            firstNanos = lastNanos;
         }
-        return lengthMs();
+        return (lastNanos - firstNanos) / NANOS_PER_MS;
     }
 
     /** A call has succeeded; how many milliseconds the spell that ends with it has taken, 0 where there was none. */
     double over() {
-        double ms = lengthMs();
-        on = false;
+        double ms = on() ? (clockNanos.getAsLong() - firstNanos) / NANOS_PER_MS : 0;
+        failing = false;
         return ms;
     }
 
-    /** Whether the last call has failed. */
+    /** Whether the last call has failed just now. */
     boolean on() {
-        return on;
-    }
-
-    private double lengthMs() {
-        return on ? (System.nanoTime() - sinceNanos) / NANOS_PER_MS : 0;
+        return failing && (clockNanos.getAsLong() - lastNanos) / NANOS_PER_MS < LONGEST_GAP_MS;
     }
 }
--- a/src/main/java/deckfall/soak/FaultPlan.java
+++ b/src/main/java/deckfall/soak/FaultPlan.java
@@ -20,7 +20,7 @@
             new Kind("read", List.of("EINTR"), 10, 150, 300, ""),
             new Kind("read", List.of("ETIMEDOUT", "EHOSTUNREACH"), 1, 20, 1500, "server"),
             new Kind("read", List.of("ENOMEM", "ENOBUFS"), 1, 60, 1000, ""),
-            new Kind("write", List.of("EINTR"), 10, 100, 300, ""),
+            new Kind("write", List.of("EINTR"), 5, 60, 300, ""),
             new Kind("write", List.of("EHOSTUNREACH"), 1, 20, 1500, "server"),
             new Kind("write", List.of("ENOBUFS", "ENOMEM"), 1, 60, 1000, ""),
             new Kind("read", List.of("SHORT"), 50, 400, 500, ""),
