Close no connection while an answer on it waits to be written

Cause: idle was judged by what had been asked and answered, not by what had left. Both paths look at the outbound buffer now; the drain's end closes behind what is still in it.

DrainTest.answersThatWaitToBeWrittenOutliveTheDrainsEnd fails without the change.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -276,7 +276,8 @@
                     && incoming == null
                     && waiting.isEmpty()
                     && !decoder.holdsBytes()
-                    && !channel.readFails();
+                    && !channel.readFails()
+                    && channel.allWritten();
         }
 
         private void readNow() {
@@ -312,7 +313,9 @@
             if (incoming != null && !ended) {
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             } else if (!busy && !ended) {
-                close(CloseReason.DRAINED);
+                ended = true;
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER) // behind all answers that still wait
+                        .addListener(f -> close(CloseReason.DRAINED));
             }
         }
 
--- a/src/main/java/deckfall/net/RetryingSocketChannel.java
+++ b/src/main/java/deckfall/net/RetryingSocketChannel.java
@@ -42,6 +42,12 @@
         return reads.on();
     }
 
+    /** Whether nothing that was written here still waits for the system to take it. */
+    boolean allWritten() {
+        ChannelOutboundBuffer out = unsafe().outboundBuffer(); // null once closed
+        return out == null || out.isEmpty();
+    }
+
     /** What is read from here on has come since. */
     void readDelayOver() {
         readDelayMs = 0;
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -135,6 +135,34 @@
         assertEquals(503, known.receive().status());
     }
 
+    /** Answers that the system had not taken yet were lost with their idle connection. */
+    @Test
+    void answersThatWaitToBeWrittenOutliveTheDrainsEnd() throws Exception {
+        int count = 150; // more than the system's buffers hold for a client that does not read
+        String body = "x".repeat(60_000);
+        Server host = kept(new Server((m, s) -> s.getOutputStream().write(Sockets.ok(body))));
+        Node node = node(entry("h0", host.address(), "ready"));
+        Client c = client(node);
+        for (int i = 0; i < count; i++) {
+            c.send(view("v" + i, Sockets.PATIENCE_MS));
+        }
+        for (int i = 0; i < count; i++) {
+            assertNotNull(host.next());
+        }
+        while (node.figures.open() > 0) {
+            node.loop.submit(() -> {}).sync();
+        }
+        node.loop
+                .submit(() -> {
+                    node.drain();
+                    node.answerAll();
+                })
+                .sync();
+        for (int i = 0; i < count; i++) {
+            assertEquals(body.length(), c.receive().text().length());
+        }
+    }
+
     @Test
     void whatIsHeldAtTheEndAndWasNeverSentIsRefused() throws Exception {
         Node node = node();
