Accept all that wait before a drain leaves its listener

A listener that closes resets the connections in its queue, with what their clients have asked; and a process that is alone at an inherited listener left it at SIGTERM, while clients still come for 0.2 to 0.4 s and nobody else accepts.

A drain now accepts until one call finds the queue empty, goes on while accepting fails, and leaves a shared listener at once after its 0.5 s only where another process serves.

AcceptRetryTest.allThatWaitAreAcceptedInOneTurn holds the first part, on 40 connections that wait in one turn.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -66,10 +66,11 @@
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>(); // longest idle first
     private final AtomicInteger open = new AtomicInteger();
     private final ClientLimits limits;
-    private final AcceptRetry acceptRetry = new AcceptRetry(this::shedIfCrowded);
-    private Channel listener;
+    private AcceptRetry acceptRetry; // the present listener's
+    private RetryingServerSocketChannel listener;
     private double stirredAt;
     private boolean sharesListener;
+    private boolean watching;
 
     ClientServer(Node node) {
         this.node = node;
@@ -82,10 +83,10 @@
         return new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ);
     }
 
-    /** Clients are served once this is done: at the inherited listener, else at the configured address. */
+    /** Clients are served once this has succeeded: at the inherited listener, else at the configured address. */
     ChannelFuture start(ServerSocketChannel inherited) {
         sharesListener = inherited != null;
-        node.loop.scheduleAtFixedRate(this::watch, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
+        acceptRetry = new AcceptRetry(this::shedIfCrowded);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(node.group)
                 .channelFactory(() ->
@@ -101,17 +102,20 @@
                         ch.pipeline().addLast(decoder, new HttpResponseEncoder(), new Connection(ch, decoder));
                     }
                 });
-        if (sharesListener) {
-            ChannelFuture registered = bootstrap.register();
-            listener = registered.channel();
-            return registered;
-        }
-        ChannelFuture bound = bootstrap
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .bind(node.config.listen());
-        listener = bound.channel();
-        return bound;
+        ChannelFuture opened = sharesListener
+                ? bootstrap.register()
+                : bootstrap
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .bind(node.config.listen());
+        if (opened.channel() instanceof RetryingServerSocketChannel channel) {
+            listener = channel;
+        }
+        if (!watching) {
+            watching = true;
+            node.loop.scheduleAtFixedRate(this::watch, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
+        }
+        return opened;
     }
 
     /** Whether another process may serve clients of the same listener. */
@@ -130,6 +134,14 @@
         }
     }
 
+    /**
+     * Accepts all that wait: a listener that closes resets them, with what their clients have asked. False where the
+     * system let none be accepted just now.
+     */
+    boolean acceptWaiting() {
+        return listener.acceptAll();
+    }
+
     /** Closes the connections on which nothing has been asked for so long. */
     void closeIdle(double quietMs) {
         double before = node.clock.now() - quietMs;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -743,7 +743,7 @@
         double latest = clock.now() + Drain.acceptByMs(config.settings());
         loop.schedule(
                 () -> stopAccepting(latest),
-                clients.sharesListener() ? 0 : Drain.ACCEPT_ON_MS + POLL_MS,
+                Drain.ACCEPT_ON_MS + POLL_MS,
                 TimeUnit.MILLISECONDS); // after the first sweep, which is due at the same time
         loop.schedule(this::answerAll, Drain.answerByMs(config.settings()), TimeUnit.MILLISECONDS);
     }
@@ -769,10 +769,16 @@
         return over;
     }
 
-    /** Not in the turn that closes idle connections: what their clients ask anew would wait in a closed listener. */
+    /**
+     * Not in the turn that closes idle connections: what their clients ask anew would wait in a closed listener. Nor
+     * while some wait to be accepted, as a close would reset them; a listener that another process serves too may be
+     * left to it.
+     */
     private void stopAccepting(double latest) {
-        boolean stirs = clock.now() - clients.stirredAt() < Drain.CROSSING_MS && clock.now() < latest;
-        if (stirs && !clients.sharesListener()) {
+        boolean leftToOther = clients.sharesListener() && processes > 1;
+        boolean allAccepted = leftToOther || clients.acceptWaiting();
+        boolean stirs = !leftToOther && clock.now() - clients.stirredAt() < Drain.CROSSING_MS;
+        if ((stirs || !allAccepted) && clock.now() < latest) {
             loop.schedule(() -> stopAccepting(latest), POLL_MS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/src/test/java/deckfall/net/AcceptRetryTest.java
+++ b/src/test/java/deckfall/net/AcceptRetryTest.java
@@ -4,13 +4,22 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-/** What waits in a listener's queue while accepting fails. */
+/** What waits in a listener's queue, while accepting fails and at the listener's end. */
 class AcceptRetryTest {
     private final AtomicInteger roomMade = new AtomicInteger();
     private final AcceptRetry retry = new AcceptRetry(roomMade::incrementAndGet);
@@ -41,4 +50,50 @@
         listener.runScheduledPendingTasks();
         assertFalse(listener.config().isAutoRead());
     }
+
+    /** A listener that closed reset the connections that waited in its queue. */
+    @Test
+    void allThatWaitAreAcceptedInOneTurn() throws Exception {
+        int count = 40; // more than one read accepts
+        AtomicInteger accepted = new AtomicInteger();
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        List<Socket> clients = new ArrayList<>();
+        try {
+            RetryingServerSocketChannel listener = (RetryingServerSocketChannel) new ServerBootstrap()
+                    .group(group)
+                    .channelFactory(RetryingServerSocketChannel::new)
+                    .handler(retry)
+                    .childHandler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public boolean isSharable() {
+                            return true;
+                        }
+
+                        @Override
+                        public void channelActive(ChannelHandlerContext ctx) {
+                            accepted.incrementAndGet();
+                        }
+                    })
+                    .bind(InetAddress.getLoopbackAddress(), 0)
+                    .sync()
+                    .channel();
+            InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+            boolean all = group.next()
+                    .submit(() -> {
+                        for (int i = 0; i < count; i++) {
+                            clients.add(new Socket(address.getAddress(), address.getPort()));
+                        }
+                        return listener.acceptAll();
+                    })
+                    .sync()
+                    .getNow();
+            assertTrue(all);
+            assertEquals(count, accepted.get());
+        } finally {
+            for (Socket s : clients) {
+                s.close();
+            }
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
 }
