Hear SIGHUP and SIGTERM from the first moment of a start

A SIGHUP that came while a process warmed up ended it (exit 129), and SIGTERM between the listener and its hook ended it with requests open: handlers were set once it served.

Both are set first now. A SIGHUP during the start is acted on at its end; SIGTERM before clients are let in ends the process at once, and later begins the drain as before. What comes before Java runs the program's first line can't be heard.

ProcessTest.sighupDuringTheStartIsActedOnAfterIt failed before: the process was gone.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -29,6 +30,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
 import java.util.logging.Handler;
@@ -109,6 +111,9 @@
 
     /** Serves until SIGTERM; a bad configuration or an address that can't be had ends it with one line. */
     public static void main(String configFile) {
+        ReloadSignal reloadSignal = ReloadSignal.heard();
+        AtomicReference<Node> started = new AtomicReference<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(started.get())));
         plainLogs();
         StartTimes times = new StartTimes(new Clock());
         try {
@@ -127,18 +132,27 @@
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
             times.ended("warm-up");
             node.recall();
+            started.set(node);
             node.start(inherited, times);
-            Hangup.onSignal(node::reload);
             log("serving on " + config.listen() + " after " + rehearsed + " rehearsed requests");
             log(times.line());
-            Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt));
             node.serving = true;
+            reloadSignal.actsBy(node::reload);
         } catch (NodeConfig.BadConfig | IOException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
 
+    /** What SIGTERM begins; a node that has not begun to serve owes nothing. */
+    private static void end(Node node) {
+        if (node == null) {
+            Runtime.getRuntime().halt(0);
+        } else {
+            node.drainAndHalt();
+        }
+    }
+
     /** Takes from a replaced configuration what may change while a node serves: where others are. */
     private synchronized void reload() { // two signals at once: the later one reads the later file
         try {
@@ -206,7 +220,7 @@
                 discovery.awaitList();
             }
             times.ended("discovery");
-            loop.submit(() -> clients.start(inherited)).sync().getNow().sync();
+            loop.submit(() -> listen(inherited)).sync().getNow().sync();
             times.ended("listener");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -216,6 +230,10 @@
         }
     }
 
+    private Future<?> listen(ServerSocketChannel inherited) {
+        return ending ? loop.newSucceededFuture(null) : clients.start(inherited);
+    }
+
     /**
      * One plain line for each thing that netty warns of. The system's own handler reads the time zones' file for
      * its first line, and where that line says that no descriptor is left, this would end the event loop.
@@ -739,6 +757,10 @@
     /** Accepts on for a while, since clients still come; answers all; then lets the process end. */
     void drain() {
         ending = true;
+        if (clients.listener() == null) {
+            drained.countDown(); // nobody was let in
+            return;
+        }
         drain.begin();
         double latest = clock.now() + Drain.acceptByMs(config.settings());
         loop.schedule(
--- a/src/test/java/deckfall/net/ProcessTest.java
+++ b/src/test/java/deckfall/net/ProcessTest.java
@@ -193,6 +193,36 @@
         }
     }
 
+    /** A signal that came during the warm-up ended the process, or was not acted on. */
+    @Test
+    void sighupDuringTheStartIsActedOnAfterIt() throws Exception {
+        try (Registry registry = new Registry(Sockets.list(1, true));
+                ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                ServerSocket operator = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+            int operatorPort = operator.getLocalPort();
+            free.close();
+            operator.close();
+            start(config(registry.server.address())
+                    .replace("{\"name\"", "{\"operator\": \"127.0.0.1:" + operatorPort + "\", \"name\""));
+            awaitOpen(operatorPort);
+            hangup();
+            awaitReady();
+            awaitLog("configuration read again");
+        }
+    }
+
+    private void awaitOpen(int at) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Sockets.PATIENCE_MS);
+        while (true) {
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), at)) {
+                return;
+            } catch (IOException e) {
+                assertTrue(process.isAlive() && System.nanoTime() < end, "not open");
+            }
+        }
+    }
+
     @Test
     void sigtermEndsItInOrder() throws Exception {
         startServing();
