Read a replaced configuration until it can be read

What callers saw: a gateway whose discovery had moved kept its old list, where the one read at SIGHUP failed for the moment (EIO), or fell into the middle of the file's replacement; nothing read it again until the old discovery had failed three times.

An exception in it no longer keeps discoveryLost from ever reading again.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -76,8 +76,7 @@
     private boolean telling;
     private volatile boolean serving;
     private boolean rehearsing;
-    private Path configFile; // null where the configuration came from elsewhere
-    private volatile boolean rereading;
+    private ConfigReloader reloader; // null where the configuration came from elsewhere
     private SiblingWatch siblings; // set before the start, where another process may serve as this gateway
     private List<Remembered> recalled = List.of();
     private int processes = 1;
@@ -153,43 +152,34 @@
         }
     }
 
+    /** Reads a replaced configuration, from any thread. */
+    private void reload() {
+        reloader.reload();
+    }
+
     /** Takes from a replaced configuration what may change while a node serves: where others are. */
-    private synchronized void reload() { // two signals at once: the later one reads the later file
-        try {
-            NodeConfig changed = NodeConfig.read(configFile.toString());
-            log("configuration read again: discovery at " + changed.discovery());
-            loop.execute(() -> {
-                discovery.move(changed.discovery());
-                counter.move(changed.counter());
-            });
-        } catch (NodeConfig.BadConfig e) {
-            log("configuration left as it was: " + e.getMessage());
-        }
+    private void changed(NodeConfig to) {
+        log("configuration read again: discovery at " + to.discovery());
+        loop.execute(() -> {
+            discovery.move(to.discovery());
+            counter.move(to.counter());
+        });
     }
 
     /** The file in which the platform tells of changes. */
     void configuredBy(Path file) {
-        configFile = file;
+        reloader = new ConfigReloader(file, this::changed);
     }
 
     /**
      * Where discovery can't be had it may have moved while nobody heard the signal, as in a start that had read the
-     * file before it was replaced. On a thread of its own, as files may be slow.
+     * file before it was replaced.
      */
     void discoveryLost() {
-        if (configFile == null || rereading) {
-            return;
+        if (reloader != null) {
+            log("discovery can't be had");
+            reload();
         }
-        rereading = true;
-        Thread reader = new Thread(
-                () -> {
-                    log("discovery can't be had");
-                    reload();
-                    rereading = false;
-                },
-                "reload");
-        reader.setDaemon(true);
-        reader.start();
     }
 
     /** Returns once clients are served at the configured address. */
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -13,7 +13,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,8 +52,20 @@
     static final class BadConfig extends Exception {
         private static final long serialVersionUID = 1L;
 
+        private final boolean mayPass;
+
         BadConfig(String message) {
+            this(message, false);
+        }
+
+        BadConfig(String message, boolean mayPass) {
             super(message);
+            this.mayPass = mayPass;
+        }
+
+        /** Whether the file could not be read just now, so that it may be a moment later. */
+        boolean mayPass() {
+            return mayPass;
         }
     }
 
@@ -59,8 +73,9 @@
         if (file == null || file.isEmpty()) {
             throw new BadConfig("NODE_CONFIG names no file");
         }
+        byte[] bytes = bytes(file);
         try {
-            JsonNode root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+            JsonNode root = new ObjectMapper().readTree(bytes);
             String operator = System.getenv("NODE_OPERATOR");
             if (operator != null && !operator.isEmpty() && root instanceof ObjectNode object) {
                 object.put(OPERATOR, operator);
@@ -74,6 +89,15 @@
         }
     }
 
+    private static byte[] bytes(String file) throws BadConfig {
+        try {
+            return Files.readAllBytes(Path.of(file));
+        } catch (IOException e) {
+            boolean lasting = e instanceof NoSuchFileException || e instanceof AccessDeniedException;
+            throw new BadConfig("can't read " + file + ": " + e.getMessage(), !lasting);
+        }
+    }
+
     static NodeConfig of(JsonNode root) {
         if (!root.isObject()) {
             throw new IllegalArgumentException("not a JSON object");
--- /dev/null
+++ b/src/test/java/deckfall/net/ConfigReloaderTest.java
@@ -0,0 +1,32 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A configuration that is replaced while its file can't always be read. */
+class ConfigReloaderTest {
+    @TempDir
+    private Path folder;
+
+    private final BlockingQueue<NodeConfig> changed = new LinkedBlockingQueue<>();
+
+    /** After a read that failed for the moment the gateway stayed at its old discovery until the next signal. */
+    @Test
+    void aFileThatCanNotBeReadJustNowIsReadAgain() throws Exception {
+        Path file = Files.createDirectory(folder.resolve("config.json")); // a read fails with EISDIR
+        new ConfigReloader(file, changed::add).reload();
+        Files.delete(file);
+        Files.writeString(file, Sockets.config("127.0.0.1:7", "127.0.0.1:0"));
+        NodeConfig config = changed.poll(Sockets.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(config);
+        assertEquals(7, config.discovery().getPort());
+    }
+}
