Try each step of a start again for a while, as a call may fail for a moment

StartStep tries the configuration's reading, the event loop, the operator's address and the listener again every 50 ms for 5 s; a warm-up that fails in any way is left out; and what still fails ends the process with one line, where an unchecked exception left a process that served nobody.

NodeTest.aNodeServesOnceItsAddressComesFree fails without the change.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -116,13 +116,13 @@
         plainLogs();
         StartTimes times = new StartTimes(new Clock());
         try {
-            NodeConfig config = NodeConfig.read(configFile);
+            NodeConfig config = config(configFile);
             times.ended("configuration");
             ServerSocketChannel inherited = Inherited.listener();
-            Node node = new Node(config);
+            Node node = StartStep.retried("no event loop", () -> new Node(config));
             node.configuredBy(Path.of(configFile));
-            if (config.operator() != null) {
-                new Operator(config.operator(), node.operations()).start(); // it says no until clients are taken
+            if (config.operator() != null) { // it says no until clients are taken
+                StartStep.retried("no operator address", () -> operator(config, node));
             }
             if (inherited != null && System.getenv("TMPDIR") != null) {
                 node.besides(Path.of(System.getenv("TMPDIR")));
@@ -137,7 +137,7 @@
             log(times.line());
             node.serving = true;
             reloadSignal.actsBy(node::reload);
-        } catch (NodeConfig.BadConfig | IOException e) {
+        } catch (NodeConfig.BadConfig | IOException | RuntimeException e) {
             System.err.println("deckfall: " + e.getMessage());
             Runtime.getRuntime().halt(1);
         }
@@ -152,6 +152,24 @@
         }
     }
 
+    private static Operator operator(NodeConfig config, Node node) throws IOException {
+        Operator operator = new Operator(config.operator(), node.operations());
+        operator.start();
+        return operator;
+    }
+
+    /** The configuration, read again for a while where the file can't be read. */
+    private static NodeConfig config(String file) throws NodeConfig.BadConfig, IOException {
+        try {
+            return NodeConfig.read(file);
+        } catch (NodeConfig.BadConfig e) {
+            if (!e.mayPass()) {
+                throw e;
+            }
+            return StartStep.retried("no configuration", () -> NodeConfig.read(file));
+        }
+    }
+
     /** Reads a replaced configuration, from any thread. */
     private void reload() {
         reloader.reload();
@@ -210,7 +228,9 @@
                 discovery.awaitList();
             }
             times.ended("discovery");
-            loop.submit(() -> listen(inherited)).sync().getNow().sync();
+            StartStep.retried(
+                    "no listener",
+                    () -> loop.submit(() -> listen(inherited)).sync().getNow().sync());
             times.ended("listener");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -80,7 +80,7 @@
         try {
             NodeConfig alone = config.rehearsal(freePort(config.listen().getAddress()));
             return play(alone, WARM_MS);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             Node.log("not warmed up: " + e.getMessage()); // slower at first, but it serves
             return 0;
         }
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -28,10 +28,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -1056,6 +1058,25 @@
         assertEquals("for held ", held.receive().text());
     }
 
+    /** One call that failed at the start, here the bind of an address in use, ended the process. */
+    @Test
+    void aNodeServesOnceItsAddressComesFree() throws Exception {
+        registry = kept(new Registry(list(1, true)));
+        ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        String config = Sockets.config(registry.server.address(), "127.0.0.1:0")
+                .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + taken.getLocalPort() + "\", \"disc");
+        CompletableFuture.delayedExecutor(1500, TimeUnit.MILLISECONDS).execute(() -> {
+            try {
+                taken.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        Node node = Sockets.node(config);
+        ends.push(node::stop);
+        assertEquals(200, client(node).send(HEALTH).receive().status());
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLine() {
         for (String bad : List.of(
