Decide in one place whether a request may go out, and again as its first byte leaves

CrossingTest.noAttemptLeavesForAClientThatLeftWhileItsConnectionCameUp failed before, with the order request sent.

DispatchRule holds what Node.send checked in line, with a name for each reason; Node asks it when an attempt is decided on and when its connection is up. Verdicts that stop one are counted in the tally, which a process now also writes at its end. At run time a byte that leaves for a request that has ended is a defect in the log and SENT_AFTER_END in the tally, as CLOSED_UNANSWERED is for closes.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -26,6 +26,16 @@
         node.attemptEnded(this, outcome, response);
     }
 
+    @Override
+    boolean mayLeave() {
+        return node.maySend(this);
+    }
+
+    @Override
+    void leaves() {
+        node.leaves(this);
+    }
+
     @Override
     Incoming upload() {
         return owner.message;
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -117,6 +117,14 @@
             return begun;
         }
 
+        /** Whether it may still leave, asked in the turn in which its first byte would; if not, it has ended. */
+        boolean mayLeave() {
+            return true;
+        }
+
+        /** Its first byte leaves in this turn. */
+        void leaves() {}
+
         /** Its host takes nothing new any more, and it had to wait for a connection there. */
         private void turnBack() {
             if (connection != null && !begun) {
@@ -411,7 +419,7 @@
                 return;
             }
             connecting.channel().closeFuture().addListener(closed -> connections--);
-            if (c.exchange == x) {
+            if (c.exchange == x && x.mayLeave()) {
                 c.write(x, message.build());
             }
         }));
@@ -443,6 +451,7 @@
             exchange = x;
             x.connection = this;
             x.begun = true;
+            x.leaves();
             written = false;
             wroteAt = node.clock.now();
             if (message instanceof FullHttpRequest) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -44,6 +44,7 @@
 public final class Node implements Actions {
     private static final double MARGIN_MS = 20; // the answer must reach the client within its time
     private static final long EXIT_MS = 30_000; // after SIGTERM: long answers have had their time, if there is any
+    private static final long LAST_WORD_MS = 100; // for the last figures to be logged
     private static final long POLL_MS = 20; // how often a drain looks whether all is answered
     private static final long SURVEY_MS = 100; // how often the figures on hosts are brought up to date
     private static final int HEAP_SHARE = 4; // one byte of so many may hold what clients and hosts sent
@@ -670,16 +671,7 @@
         Attempt a = new Attempt(this, r, host, now);
         r.attempts.add(a);
         r.out++;
-        if (over
-                || r.closed()
-                || now >= r.deadlineMs
-                || r.message.spent()
-                || a.number >= config.settings().limits().maxAttempts()) {
-            attemptEnded(a, Outcome.MOOT, null);
-            return;
-        }
-        if (r.clientGone()) {
-            clientLeft(r); // ends this attempt too, as it has not begun
+        if (!maySend(a)) {
             return;
         }
         if (timeoutMs > 0) {
@@ -688,6 +680,32 @@
         hosts.send(a);
     }
 
+    /** Whether an attempt may go out now; one that may not has ended without having run. */
+    boolean maySend(Attempt a) {
+        DispatchRule.Verdict verdict = DispatchRule.judge(
+                a.owner, a.number, clock.now(), config.settings().limits().maxAttempts(), over);
+        if (verdict == DispatchRule.Verdict.ALLOWED) {
+            return true;
+        }
+        tally.notSent(verdict);
+        if (verdict == DispatchRule.Verdict.CLIENT_GONE) {
+            clientLeft(a.owner); // ends all attempts that have not begun
+        }
+        if (!a.ended) {
+            a.abandon();
+            attemptEnded(a, Outcome.MOOT, null);
+        }
+        return false;
+    }
+
+    /** Checks at run time what {@link #maySend} has decided: no byte leaves for a request that has ended. */
+    void leaves(Attempt a) {
+        if (a.ended || a.owner.closed() || over) {
+            tally.add(Tally.Count.SENT_AFTER_END);
+            log("defect: request " + a.owner.traceId + " sent to " + a.host + " after its end");
+        }
+    }
+
     @Override
     public void cancel(String id, int attempt) {
         OpenRequest r = open.get(id);
@@ -754,6 +772,7 @@
         loop.execute(this::drain);
         try {
             boolean all = awaitDrained(EXIT_MS);
+            loop.submit(this::logTally).await(LAST_WORD_MS);
             log("ended, " + (all ? "all answered" : figures.open() + " requests still open"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -22,7 +22,8 @@
         UNREADABLE,
         SURPLUS,
         CLOSED_EARLY,
-        CLOSED_UNANSWERED
+        CLOSED_UNANSWERED,
+        SENT_AFTER_END
     }
 
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
@@ -30,6 +31,7 @@
     private final Map<Outcome, Long> calls = new EnumMap<>(Outcome.class); // to the counter
     private final Map<Refusal, Long> refusals = new EnumMap<>(Refusal.class);
     private final Map<CloseReason, Long> closes = new EnumMap<>(CloseReason.class); // of clients' connections
+    private final Map<DispatchRule.Verdict, Long> notSent = new EnumMap<>(DispatchRule.Verdict.class);
     private int lines;
 
     void add(Count what) {
@@ -48,6 +50,10 @@
         refusals.merge(why, 1L, Long::sum);
     }
 
+    void notSent(DispatchRule.Verdict why) {
+        notSent.merge(why, 1L, Long::sum);
+    }
+
     void closed(CloseReason why) {
         closes.merge(why, 1L, Long::sum);
     }
@@ -68,11 +74,13 @@
         calls.forEach((outcome, count) -> line.add("calls_" + outcome + "=" + count));
         refusals.forEach((why, count) -> line.add("refused_" + why + "=" + count));
         closes.forEach((why, count) -> line.add("closed_" + why + "=" + count));
+        notSent.forEach((why, count) -> line.add("not_sent_" + why + "=" + count));
         counts.clear();
         attempts.clear();
         calls.clear();
         refusals.clear();
         closes.clear();
+        notSent.clear();
         lines = 0;
         return line.length() == 0 ? null : line.toString();
     }
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -7,6 +7,7 @@
 import static deckfall.net.Sockets.order;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -174,6 +175,23 @@
         }
     }
 
+    /** An attempt left for a client that had gone, since its connection came up in the same turn of a busy loop. */
+    @Test
+    void noAttemptLeavesForAClientThatLeftWhileItsConnectionCameUp() throws Exception {
+        Unreachable slow = kept(new Unreachable());
+        Node node = node(sending("h0"), c -> c, entry("h0", slow.address(), "ready"));
+        Client c = client(node).send(order("o", "b"));
+        next(asked);
+        CountDownLatch go = new CountDownLatch(1);
+        node.loop.execute(() -> await(go));
+        try (Socket came = slow.accept()) {
+            c.close();
+            go.countDown();
+            assertEquals(Outcome.MOOT, resultOf("o"));
+            assertNull(Sockets.read(came.getInputStream()));
+        }
+    }
+
     /** A request that was sent behind another told its server the time from when its turn came. */
     @Test
     void theTimeOfARequestThatWaitsItsTurnGoesOn() throws Exception {
