--- a/src/test/java/deckfall/soak/SoakTest.java
+++ b/src/test/java/deckfall/soak/SoakTest.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -57,14 +56,12 @@
 
     /** Faults of all kinds that overlap. */
     @Test
-    @Tag("known-red")
     void rulesAreKeptUnderDrawnFaults() throws Exception {
         assertKept(101, 8, SoakOptions.DRAWN, !CROWDED, RESTARTED, SoakOptions.USUAL_SOCKETS);
     }
 
     /** The same where idle clients fill the descriptors. */
     @Test
-    @Tag("known-red")
     void rulesAreKeptUnderDrawnFaultsInACrowd() throws Exception {
         assertKept(104, 6, SoakOptions.DRAWN, CROWDED, RESTARTED, SoakOptions.FEW_SOCKETS);
     }
