Hear peers again after a read of theirs has failed

PeerLinkTest.peersAreHeardAgainAfterTheirChannelClosed fails without the change. SITE has no messages between gateways.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -849,6 +849,10 @@
         return drained.await(ms, TimeUnit.MILLISECONDS);
     }
 
+    PeerLink peers() {
+        return peers;
+    }
+
     /** The port of the listener, where the configuration left it to the system; 0 before clients are let in. */
     int port() {
         return clients.listener() == null
--- a/src/main/java/deckfall/net/PeerLink.java
+++ b/src/main/java/deckfall/net/PeerLink.java
@@ -56,12 +56,29 @@
                             Node.log("no messages from peers yet: " + f.cause().getMessage());
                         }
                         failing = true;
-                        node.loop.schedule(this::bind, AGAIN_MS, TimeUnit.MILLISECONDS);
+                        bindAgain();
                     }
                 })
                 .channel();
     }
 
+    private void bindAgain() {
+        if (!node.loop.isShuttingDown()) {
+            node.loop.schedule(this::bind, AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Netty closes the channel on some reads that fail for a moment. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        bindAgain();
+    }
+
+    /** On the event loop. */
+    Channel channel() {
+        return channel;
+    }
+
     void send(int peer, byte[] data) {
         InetSocketAddress to = peer == EVERYONE
                 ? node.config.peersAll()
--- /dev/null
+++ b/src/test/java/deckfall/net/PeerLinkTest.java
@@ -0,0 +1,57 @@
+package deckfall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import deckfall.net.Sockets.Registry;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The datagrams between gateways while system calls fail. */
+class PeerLinkTest {
+    private static final int TRIES = 300;
+    private static final int BYTES = 7;
+
+    private final BlockingQueue<Integer> heard = new LinkedBlockingQueue<>();
+
+    private Node node(Registry registry, int port, DatagramSocket peer) throws Exception {
+        String config =
+                Sockets.config(registry.server.address(), "127.0.0.1:" + port, "127.0.0.1:" + peer.getLocalPort());
+        return Sockets.node(config, act -> new Scripted((now, r) -> {}) {
+            @Override
+            public void peerSaid(double now, int from, byte[] data) {
+                heard.add(data.length);
+            }
+        });
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** A read that failed for a moment closed the channel, and no peer was heard again. */
+    @Test
+    void peersAreHeardAgainAfterTheirChannelClosed() throws Exception {
+        int port = freePort();
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                Registry registry = new Registry(Sockets.list(1, true))) {
+            Node node = node(registry, port, peer);
+            node.loop.submit(() -> node.peers().channel().close()).sync();
+            InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            Integer size = null;
+            for (int i = 0; i < TRIES && size == null; i++) { // what comes to a closed port is lost
+                peer.send(new DatagramPacket(new byte[BYTES], BYTES, to));
+                size = heard.poll(100, TimeUnit.MILLISECONDS);
+            }
+            node.stop();
+            assertEquals(BYTES, size);
+        }
+    }
+}
