Count the time for which bytes waited for a busy event loop as their client's

LoopDelay is the loop's SelectStrategy: it notes when each turn began and when it first handled I/O or a timer. What a turn finds at once has come since the turn before looked; what wakes a sleeping loop has just come. One more reading of the clock a turn and a message. Time in which the process itself is not run while its loop sleeps stays unseen.

CrossingTest.theTimeOfARequestGoesOnWhileTheLoopIsHeldUp fails without it.

--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -255,6 +255,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            node.loopDelay.handledMs();
             connections.add(this);
             open.set(connections.size());
             idle.add(this);
@@ -376,7 +377,8 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
-            waiting.add(new Arrival((HttpObject) message, node.clock.now() - channel.readDelayMs()));
+            double delayMs = Math.max(node.loopDelay.handledMs(), channel.readDelayMs());
+            waiting.add(new Arrival((HttpObject) message, node.clock.now() - delayMs));
             account(bytes(message));
         }
 
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -556,6 +556,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            node.loopDelay.handledMs();
             try {
                 HttpObject object = (HttpObject) message;
                 if (exchange == null && transfer == null || answer != null) {
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -20,6 +20,7 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -28,6 +29,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -59,7 +61,9 @@
 
     final NodeConfig config;
     final Clock clock;
-    final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    final LoopDelay loopDelay = new LoopDelay();
+    final NioEventLoopGroup group =
+            new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), () -> loopDelay);
     final EventLoop loop = group.next();
     final Tally tally = new Tally();
     final Room room = new Room(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
@@ -302,6 +306,7 @@
             return;
         }
         telling = true;
+        loopDelay.handledMs(); // a timer's turn has no I/O
         try {
             for (Event next = events.poll(); next != null; next = events.poll()) {
                 try {
--- a/src/test/java/deckfall/net/CrossingTest.java
+++ b/src/test/java/deckfall/net/CrossingTest.java
@@ -38,6 +38,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
@@ -212,6 +213,32 @@
         assertTrue(Integer.parseInt(host.next().header("X-Expires-In-Ms")) <= ms / 2);
     }
 
+    /** A server was told the time that its client had waited for a loop that was held up. */
+    @Test
+    void theTimeOfARequestGoesOnWhileTheLoopIsHeldUp() throws Exception {
+        int heldMs = 400;
+        CountDownLatch held = new CountDownLatch(1);
+        Server host = kept(new Server(CrossingTest::echo));
+        Node node = node(
+                act -> new Scripted((now, r) -> {
+                    if (r.id().equals("first")) {
+                        held.countDown();
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(heldMs));
+                    }
+                    act.send(r.id(), "h0", 0);
+                }),
+                c -> c,
+                entry("h0", host.address(), "ready"));
+        Client first = client(node);
+        Client second = client(node);
+        first.send(Sockets.view("first", Sockets.PATIENCE_MS));
+        await(held);
+        second.send(Sockets.view("second", Sockets.PATIENCE_MS));
+        assertEquals("first", host.next().header("X-Trace-Id"));
+        int toldMs = Integer.parseInt(host.next().header("X-Expires-In-Ms"));
+        assertTrue(toldMs <= Sockets.PATIENCE_MS - heldMs / 2, toldMs + " ms");
+    }
+
     /** It holds its place in the queue no longer, and none at a host. */
     @Test
     void aRequestWhoseClientLeftWhileItWasHeldIsNeverSent() throws Exception {
