--- a/src/main/java/deckfall/soak/GatewayUnderTest.java
+++ b/src/main/java/deckfall/soak/GatewayUnderTest.java
@@ -47,7 +47,6 @@
     private static final AtomicInteger NEXT_PORT =
             new AtomicInteger((int) ProcessHandle.current().pid() * 64);
     private static final int CALL_MS = 500; // to the operator's address
-    private static final long END_MS = 5000;
 
     /** One process, with what has been asked of it. */
     static final class Member {
@@ -218,14 +217,13 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         for (Member m : members) {
             m.endAsked = true;
             m.handle.destroyForcibly();
         }
         if (holder != null) {
             holder.destroyForcibly();
-            holder.waitFor(END_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/src/main/java/deckfall/soak/SoakRun.java
+++ b/src/main/java/deckfall/soak/SoakRun.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** One run of the soak: starts the gateways, lets load and faults go on side by side, and gives the verdict. */
@@ -44,7 +45,7 @@
     private final List<String> command;
     private final Ledger ledger = new Ledger();
     private final NioEventLoopGroup standIns = new NioEventLoopGroup(STAND_IN_THREADS);
-    private final List<GatewayUnderTest> gateways = new ArrayList<>();
+    private final List<GatewayUnderTest> gateways = new CopyOnWriteArrayList<>();
     private final List<ClientLoad> loads = new ArrayList<>();
     private final Random random;
     private SeatServers servers;
@@ -61,6 +62,8 @@
 
     Verdict run() throws IOException, InterruptedException {
         List<Thread> scripts = new ArrayList<>();
+        Thread atExit = new Thread(this::killAll); // also where the soak itself is ended
+        Runtime.getRuntime().addShutdownHook(atExit);
         try {
             startStandIns();
             startGateways();
@@ -79,9 +82,8 @@
             for (Thread t : scripts) {
                 t.join();
             }
-            for (GatewayUnderTest g : gateways) {
-                g.close();
-            }
+            killAll();
+            Runtime.getRuntime().removeShutdownHook(atExit);
             standIns.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         }
         int processes = gateways.stream().mapToInt(g -> g.members.size()).sum();
@@ -89,6 +91,10 @@
         return new Verdict(options.seed(), ledger.sent(), processes, ledger.ends(), ledger.mostLag(), violations);
     }
 
+    private void killAll() {
+        gateways.forEach(GatewayUnderTest::close);
+    }
+
     private void startStandIns() {
         for (EventExecutor loop : standIns) {
             double[] due = {Ledger.nowMs() + HEARTBEAT_MS};
