Name the files and the watch of sibling processes, and the reload signal, by the field's terms

Beside -> SiblingFiles, its beat -> heartbeat, besides -> watchSiblings; Hangup is part of ReloadSignal, its one user. No change of behaviour.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -130,7 +130,7 @@
                 StartStep.retried("no operator address", () -> operator(config, node));
             }
             if (inherited != null && System.getenv("TMPDIR") != null) {
-                node.besides(Path.of(System.getenv("TMPDIR")));
+                node.watchSiblings(Path.of(System.getenv("TMPDIR")));
             }
             times.ended("operator and siblings");
             int rehearsed = Rehearsal.warm(config, inherited == null && config.wasInService());
@@ -322,8 +322,8 @@
     }
 
     /** Other processes that serve as this gateway are told of this one from here on, by files in a folder. */
-    SiblingWatch besides(Path folder) {
-        Beside files = new Beside(folder, ProcessHandle.current().pid());
+    SiblingWatch watchSiblings(Path folder) {
+        SiblingFiles files = new SiblingFiles(folder, ProcessHandle.current().pid());
         siblings = new SiblingWatch(files, clock, new SiblingWatch.Gateway() {
             @Override
             public boolean takesClients() {
--- a/src/main/java/deckfall/net/Rehearsal.java
+++ b/src/main/java/deckfall/net/Rehearsal.java
@@ -52,16 +52,16 @@
         InetSocketAddress at = freePort(InetAddress.getLoopbackAddress());
         String address = at.getAddress().getHostAddress() + ':' + at.getPort();
         play(NodeConfig.of(new ObjectMapper().readTree(CONFIG.formatted(address))), WARM_MS);
-        tellBeside();
+        tellSiblings();
     }
 
     /** So that the archive holds what a process needs that starts beside another. */
-    private static void tellBeside() throws IOException {
+    private static void tellSiblings() throws IOException {
         Path folder = Files.createTempDirectory("rehearsal");
-        Beside one = new Beside(folder, 1);
+        SiblingFiles one = new SiblingFiles(folder, 1);
         Remembered customer = new Remembered(1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
-        one.write(new Beside.Note(1, 0, true, 0, 0, List.of(customer)));
-        new Beside(folder, 2).others(0);
+        one.write(new SiblingFiles.Note(1, 0, true, 0, 0, List.of(customer)));
+        new SiblingFiles(folder, 2).others(0);
         one.remove();
         Files.delete(folder);
     }
--- a/src/main/java/deckfall/net/ReloadSignal.java
+++ b/src/main/java/deckfall/net/ReloadSignal.java
@@ -1,5 +1,7 @@
 package deckfall.net;
 
+import java.lang.reflect.Proxy;
+
 /**
  * SIGHUP from the first moment of a process on: left alone it ends the process, and one that comes during the start is
  * acted on once the start is over.
@@ -11,7 +13,7 @@
     /** Begins to hear the signal. */
     static ReloadSignal heard() {
         ReloadSignal signal = new ReloadSignal();
-        Hangup.onSignal(signal::raised);
+        hear(signal::raised);
         return signal;
     }
 
@@ -30,4 +32,24 @@
             reload.run();
         }
     }
+
+    /** Only the unsupported {@code sun.misc.Signal} hears signals; it is found by name, as the compiler warns of it. */
+    private static void hear(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object heard = Proxy.newProxyInstance(
+                    handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
+                        if (!method.getName().equals("handle")) {
+                            return method.invoke(action, args); // what every object has
+                        }
+                        action.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), heard);
+        } catch (ReflectiveOperationException e) {
+            Node.log("SIGHUP is not heard: " + e);
+        }
+    }
 }
--- a/src/main/java/deckfall/net/Beside.java
+++ b/src/main/java/deckfall/net/SiblingFiles.java
@@ -16,8 +16,8 @@
  * What the processes of one gateway know of each other while one replaces the other: each keeps a file in their
  * common folder. What is old, damaged or half there is passed over, as its writer may be gone.
  */
-final class Beside {
-    static final long BEAT_MS = 400;
+final class SiblingFiles {
+    static final long HEARTBEAT_MS = 400;
     private static final double FRESH_MS = 1500; // a process short of its share of a core writes late
     private static final double SILENT_MS = 30_000; // the longest that a process which lives may write nothing
     private static final String PREFIX = "gateway-";
@@ -31,7 +31,7 @@
     private final ObjectMapper json = new ObjectMapper();
     private Map<Path, Note> lastRead = Map.of();
 
-    Beside(Path folder, long pid) {
+    SiblingFiles(Path folder, long pid) {
         this.folder = folder;
         this.pid = pid;
     }
--- a/src/main/java/deckfall/net/SiblingWatch.java
+++ b/src/main/java/deckfall/net/SiblingWatch.java
@@ -41,12 +41,12 @@
         void told(Siblings own);
     }
 
-    private final Beside files;
+    private final SiblingFiles files;
     private final Clock clock;
     private final Gateway gateway;
     private boolean failing; // one line in the log for a spell of failures
 
-    SiblingWatch(Beside files, Clock clock, Gateway gateway) {
+    SiblingWatch(SiblingFiles files, Clock clock, Gateway gateway) {
         this.files = files;
         this.clock = clock;
         this.gateway = gateway;
@@ -62,7 +62,7 @@
             t.setDaemon(true);
             return t;
         });
-        executor.scheduleWithFixedDelay(this::look, 0, Beside.BEAT_MS, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(this::look, 0, SiblingFiles.HEARTBEAT_MS, TimeUnit.MILLISECONDS);
     }
 
     void look() {
@@ -83,16 +83,16 @@
     }
 
     private void exchange() throws IOException, InterruptedException, ExecutionException, TimeoutException {
-        List<Beside.Note> others = files.others(monotonicMs());
-        int serving = (int) others.stream().filter(Beside.Note::serving).count();
-        int clients = others.stream().mapToInt(Beside.Note::clients).sum();
-        int hosts = others.stream().mapToInt(Beside.Note::hosts).sum();
+        List<SiblingFiles.Note> others = files.others(monotonicMs());
+        int serving = (int) others.stream().filter(SiblingFiles.Note::serving).count();
+        int clients = others.stream().mapToInt(SiblingFiles.Note::clients).sum();
+        int hosts = others.stream().mapToInt(SiblingFiles.Note::hosts).sum();
         gateway.siblings(new Siblings(others.size(), serving, clients, hosts)); // first, as the folder may be full
         boolean takes = gateway.takesClients();
         boolean asked = takes && serving < others.size(); // by one that starts
         int clientsNow = gateway.clientConnections();
         int hostsNow = gateway.hostConnections();
-        files.write(new Beside.Note(
+        files.write(new SiblingFiles.Note(
                 ProcessHandle.current().pid(),
                 monotonicMs(),
                 takes,
@@ -105,7 +105,7 @@
     /** What a process that serves now remembers, for one that starts; empty where there is none. */
     List<Remembered> memoryOfOther() {
         return files.others(monotonicMs()).stream()
-                .filter(Beside.Note::serving)
+                .filter(SiblingFiles.Note::serving)
                 .findFirst()
                 .map(note -> inClockTime(note.memory()))
                 .orElse(List.of());
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -655,9 +655,9 @@
     void aNewConnectionIsAnsweredWhileAnotherProcessHoldsTheClientsShare(@TempDir Path folder) throws Exception {
         Node node = nodeBefore(host(NodeTest::echo));
         int share = ClientLimits.usual(1024);
-        Beside.Note crowded = new Beside.Note(1, SiblingWatch.monotonicMs(), true, share, 0, List.of());
-        new Beside(folder, 1).write(crowded);
-        SiblingWatch watch = node.besides(folder);
+        SiblingFiles.Note crowded = new SiblingFiles.Note(1, SiblingWatch.monotonicMs(), true, share, 0, List.of());
+        new SiblingFiles(folder, 1).write(crowded);
+        SiblingWatch watch = node.watchSiblings(folder);
         watch.look();
         node.loop.submit(() -> assertEquals(share, node.others().clients())).sync();
         Message answer = client(node).send(view("v", Sockets.PATIENCE_MS)).receive();
--- a/src/test/java/deckfall/net/SiblingWatchTest.java
+++ b/src/test/java/deckfall/net/SiblingWatchTest.java
@@ -60,18 +60,18 @@
         };
     }
 
-    private static Beside.Note note(boolean serving) {
-        return new Beside.Note(OTHER_PID, SiblingWatch.monotonicMs(), serving, 5, 6, List.of());
+    private static SiblingFiles.Note note(boolean serving) {
+        return new SiblingFiles.Note(OTHER_PID, SiblingWatch.monotonicMs(), serving, 5, 6, List.of());
     }
 
     /** The thread ended with the first unchecked exception, and no other process was told of this one again. */
     @Test
     void aLookThatFailsIsFollowedByOthers() throws IOException {
-        SiblingWatch watch = new SiblingWatch(new Beside(folder, 2), new Clock(), gateway(0));
+        SiblingWatch watch = new SiblingWatch(new SiblingFiles(folder, 2), new Clock(), gateway(0));
         fails = true;
         watch.look();
         fails = false;
-        new Beside(folder, OTHER_PID).write(note(true));
+        new SiblingFiles(folder, OTHER_PID).write(note(true));
         watch.look();
         assertEquals(List.of(new Siblings(1, 1, 5, 6)), seen);
     }
@@ -79,9 +79,9 @@
     /** A folder in which nothing can be written still tells of the other process. */
     @Test
     void theOtherProcessIsSeenWhereThisOneCanNotWrite() throws IOException {
-        new Beside(folder, OTHER_PID).write(note(true));
+        new SiblingFiles(folder, OTHER_PID).write(note(true));
         Files.createDirectory(folder.resolve("gateway-2.part"));
-        new SiblingWatch(new Beside(folder, 2), new Clock(), gateway(0)).look();
+        new SiblingWatch(new SiblingFiles(folder, 2), new Clock(), gateway(0)).look();
         assertEquals(List.of(new Siblings(1, 1, 5, 6)), seen);
     }
 
@@ -93,9 +93,9 @@
         before.stands = true;
         after.stands = true;
         after.aheadMs = 3_600_000;
-        new Beside(folder, OTHER_PID).write(note(false)); // one that starts
-        new SiblingWatch(new Beside(folder, 2), before, gateway(before.now() - 100)).look();
-        Remembered heard = new SiblingWatch(new Beside(folder, OTHER_PID), after, gateway(0))
+        new SiblingFiles(folder, OTHER_PID).write(note(false)); // one that starts
+        new SiblingWatch(new SiblingFiles(folder, 2), before, gateway(before.now() - 100)).look();
+        Remembered heard = new SiblingWatch(new SiblingFiles(folder, OTHER_PID), after, gateway(0))
                 .memoryOfOther()
                 .get(0);
         double agoMs = after.now() - heard.totalAt();
