--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -469,7 +469,7 @@
      * Takes a request from its client, whole or as far as its body is kept; the entry owns the message from here on.
      * The client's time starts with the last byte, so the module is told of the longest that the rest may take.
      */
-    void taken(Request read, Incoming message, ClientServer.Connection client) {
+    void taken(Request read, Incoming message, ClientConnection client) {
         Request r = message.whole() ? read : due(read, read.id(), message.dueBytes() / BODY_BYTES_PER_MS);
         String id = r.id();
         while (open.containsKey(id)) { // the module knows requests by id, and a client may repeat one
@@ -576,7 +576,7 @@
         a.ended = true;
         OpenRequest r = a.owner;
         if (outcome == Outcome.OK) {
-            ClientServer.Connection client = close(r);
+            ClientConnection client = close(r);
             if (client != null) {
                 tally.add(Tally.Count.SERVED);
                 figures.ended(r.request.requestClass(), Figures.End.SUCCESS);
@@ -601,7 +601,7 @@
     }
 
     /** Whom to answer, for the one caller that ends the request; null for all later ones (rule 1). */
-    private ClientServer.Connection close(OpenRequest r) {
+    private ClientConnection close(OpenRequest r) {
         if (!r.closed()) {
             figures.closed();
         }
@@ -618,7 +618,7 @@
         }
         a.ended = true;
         OpenRequest r = a.owner;
-        ClientServer.Connection client = r.close();
+        ClientConnection client = r.close();
         Transfer transfer = client == null ? null : new Transfer(this, r.request.requestClass(), client, source);
         if (transfer != null) {
             client.begin(head, transfer);
@@ -733,7 +733,7 @@
     }
 
     private void answer(OpenRequest r, HttpResponseStatus status, double retryAfterMs) {
-        ClientServer.Connection client = r == null ? null : close(r);
+        ClientConnection client = r == null ? null : close(r);
         if (client != null) {
             boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
                     || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -11,13 +11,13 @@
     final Incoming message; // held until the entry leaves the table
     final String traceId;
     final List<Attempt> attempts = new ArrayList<>(2);
-    private ClientServer.Connection client;
+    private ClientConnection client;
     private boolean closed;
     int out; // attempts that have not ended
     Future<?> guard;
     double deadlineMs; // moves on while the body is still coming
 
-    OpenRequest(Request request, Incoming message, String traceId, ClientServer.Connection client) {
+    OpenRequest(Request request, Incoming message, String traceId, ClientConnection client) {
         this.request = request;
         this.deadlineMs = request.deadlineMs();
         this.message = message;
@@ -35,8 +35,8 @@
     }
 
     /** The client to answer, for the one caller that ends the request; null for all later ones (rule 1). */
-    ClientServer.Connection close() {
-        ClientServer.Connection owed = client;
+    ClientConnection close() {
+        ClientConnection owed = client;
         closed = true;
         client = null;
         return owed;
--- a/src/main/java/deckfall/net/Transfer.java
+++ b/src/main/java/deckfall/net/Transfer.java
@@ -17,12 +17,12 @@
 
     private final Node node;
     private final String requestClass;
-    private final ClientServer.Connection client;
+    private final ClientConnection client;
     private final Source source;
     private double movedAt;
     private boolean over;
 
-    Transfer(Node node, String requestClass, ClientServer.Connection client, Source source) {
+    Transfer(Node node, String requestClass, ClientConnection client, Source source) {
         this.node = node;
         this.requestClass = requestClass;
         this.client = client;
