Metrics: what the memory budget counts, and how much of the heap is in use

Two values side by side tell uncounted memory from counted: `memory_held_bytes` (what the budget counts) with `memory_limit_bytes`, and `heap_used_bytes` with `heap_limit_bytes`. If the heap fills while the held bytes stay low, memory is used that nobody counts.

NodeTest passes.

--- a/src/main/java/deckfall/net/MemoryBudget.java
+++ b/src/main/java/deckfall/net/MemoryBudget.java
@@ -27,6 +27,10 @@
         return usedBytes > limitBytes;
     }
 
+    long limitBytes() {
+        return limitBytes;
+    }
+
     long usedBytes() {
         return usedBytes;
     }
--- a/src/main/java/deckfall/net/Metrics.java
+++ b/src/main/java/deckfall/net/Metrics.java
@@ -34,6 +34,8 @@
     private final LongAdder concurrent = new LongAdder();
     private volatile int targets;
     private volatile int targetsDisabled;
+    private volatile long memoryHeldBytes;
+    private volatile long memoryLimitBytes;
 
     Metrics(List<RequestClass> classes) {
         for (RequestClass c : classes) {
@@ -73,6 +75,18 @@
         targetsDisabled = avoided;
     }
 
+    /** Sets how much memory the memory budget counts as held for peers, and its limit. */
+    void memory(long heldBytes, long limitBytes) {
+        memoryHeldBytes = heldBytes;
+        memoryLimitBytes = limitBytes;
+    }
+
+    /** The bytes of the heap in use, garbage that was not collected yet included. */
+    private static long heapUsedBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     /** All metrics, one per line, each terminated by a line feed. */
     String text() {
         StringBuilder text = new StringBuilder();
@@ -86,6 +100,10 @@
         appendLine(text, "concurrent", openRequests());
         appendLine(text, "targets", targets);
         appendLine(text, "targets_disabled", targetsDisabled);
+        appendLine(text, "memory_held_bytes", memoryHeldBytes);
+        appendLine(text, "memory_limit_bytes", memoryLimitBytes);
+        appendLine(text, "heap_used_bytes", heapUsedBytes());
+        appendLine(text, "heap_limit_bytes", Runtime.getRuntime().maxMemory());
         return text.toString();
     }
 
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -50,7 +50,7 @@
     private static final long SHUTDOWN_TIMEOUT_MS = 30_000; // after SIGTERM, enough for long responses to end
     private static final long FINAL_TALLY_TIMEOUT_MS = 100; // for the last tally line to be logged
     private static final long DRAIN_POLL_INTERVAL_MS = 20; // how often a drain checks whether all requests are answered
-    private static final long HOST_METRICS_INTERVAL_MS = 100; // how often the metrics on hosts are updated
+    private static final long GAUGE_INTERVAL_MS = 100; // how often the metrics of current values are updated
     private static final int BUFFER_HEAP_DIVISOR = 4; // buffers of client and host data may use 1/4 of the heap
     private static final double ASSUMED_BODY_BYTES_PER_MS = 64; // the slowest rate expected for the rest of a body
     private static final double MICROS_PER_MS = 1000;
@@ -235,10 +235,7 @@
                         loop.scheduleAtFixedRate(
                                 this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
                         loop.scheduleAtFixedRate(
-                                this::updateHostMetrics,
-                                HOST_METRICS_INTERVAL_MS,
-                                HOST_METRICS_INTERVAL_MS,
-                                TimeUnit.MILLISECONDS);
+                                this::updateGauges, GAUGE_INTERVAL_MS, GAUGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
                     })
                     .sync();
             startupTimes.phaseEnded("module and known list"); // the counter's connect is started and not awaited
@@ -429,8 +426,9 @@
         }
     }
 
-    private void updateHostMetrics() {
+    private void updateGauges() {
         metrics.targets(hostClient.hostCount(), module.avoidedHostCount(clock.now()));
+        metrics.memory(memoryBudget.usedBytes(), memoryBudget.limitBytes());
     }
 
     /** Whether the node drains, after SIGTERM or on an operator's request. */
