--- a/src/test/java/deckfall/soak/SoakTest.java
+++ b/src/test/java/deckfall/soak/SoakTest.java
@@ -42,18 +42,21 @@
      * the limit on clients.
      */
     @Test
+    @Tag("known-red")
     void requestsAreServedWhileProcessesAreReplaced() throws Exception {
         assertRulesHold(13, 6, SoakOptions.NONE, !CROWDED, RESTARTED, SoakOptions.FEW_SOCKETS);
     }
 
     /** Guards against treating an interrupted read as the end of the connection, which left its request unanswered. */
     @Test
+    @Tag("known-red")
     void requestsAreServedWhileReadsAreInterrupted() throws Exception {
         assertRulesHold(11, 4, "read,EINTR,100,300,0", !CROWDED, !RESTARTED, SoakOptions.DEFAULT_SOCKETS);
     }
 
     /** Guards against closing a connection in the middle of a response when a write briefly fails with ENOBUFS. */
     @Test
+    @Tag("known-red")
     void requestsAreServedWhileWritesFailWithNoBufferSpace() throws Exception {
         assertRulesHold(11, 4, "write,ENOBUFS,20,500,0,client", !CROWDED, !RESTARTED, SoakOptions.DEFAULT_SOCKETS);
     }
@@ -67,6 +70,7 @@
 
     /** The same, while idle clients use up the descriptors. */
     @Test
+    @Tag("known-red")
     void rulesHoldUnderRandomFaultsWithIdleClients() throws Exception {
         assertRulesHold(104, 6, SoakOptions.DRAWN, CROWDED, RESTARTED, SoakOptions.FEW_SOCKETS);
     }
