Count all that a peer makes the process hold, by what it takes, against one budget

What callers saw: 300 unknown peers that each sent 8,100 bytes of an unfinished head and stayed filled the heap.

Cause: the budget counted bodies, responses and an estimate of 2,048 bytes for each complete head. Nobody counted the fields of a head that is not complete (96 bytes and more for four on the wire, 190 kB a head), of trailers, of responses of hosts, the objects of short chunks, or undecoded bytes; and what was read ahead was decoded at once, at twenty times its size.

MemoryBudget has an account for each connection, to clients and to hosts. Header fields are counted before they are stored (CountedHeaders), undecoded bytes, line buffers, queued parts of bodies and responses that a client does not take by their buffers and objects. What is read ahead stays as received until its turn. When the accounts exceed their part of the limit, the one that holds most gives up: 431 for a head, 413 for a body, its response and a close where a request was admitted, a reset where a client takes no responses, an unreadable response for a host. Accounts that hold less than a quarter of the limit divided by the descriptors are never asked, and small requests are admitted a quarter beyond the limit. `memory_rejected_total{type}`, the tally (memory_rejected_*) and closed_MEMORY count it. The limit is a quarter of the heap, which counts as at most a quarter of `memory_mb`.

Why it works: nothing decoded exists without having been counted, and whoever holds most when the limit is reached holds more than any ordinary client, whatever it holds it for.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -29,32 +29,45 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** One client connection. It serves one request at a time, in order; pipelined requests wait in a queue. */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+/**
+ * One client connection. It serves one request at a time, in order; pipelined requests wait as they were received.
+ *
+ * <p>What the connection holds for requests that are not admitted, and responses that its client does not take, counts
+ * in its account of the memory budget. If the account has to give up, the connection drops it, answers the admitted
+ * request that it may have, otherwise with an error, and closes.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter
+        implements StrictRequestDecoder.Receiver, MemoryBudget.Holder {
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024; // per connection; beyond this, reading is paused
-    private static final int HEAD_SIZE_ESTIMATE_BYTES = 2048; // the approximate memory of a queued request head
+    private static final int MAX_DECODED_BYTES = 16 * 1024; // decoded parts of a body that wait to be processed
+    private static final int MIN_READ_AHEAD_RATIO =
+            4; // of all memory to the request's, to take back what follows it only
+    private static final int CONTENT_OBJECT_BYTES =
+            192; // a part of a body: its objects in the queue, without its bytes
     // Below the 100 ms within which an attempt may still start after its client has left: a pause hides the close
     private static final long MAX_READ_PAUSE_MS = 80;
     // A client that has sent no complete head, or too little of its body, by then gets a 408 response
     private static final long REQUEST_TIMEOUT_MS = 2500;
     private static final double MIN_BODY_BYTES_PER_MS = 32; // a slower body is then rejected
     private static final long DISCARD_TIMEOUT_MS = 2000; // how long the rest of an unwanted body is read
-    // Smaller responses do not count against the memory budget
-    private static final int MAX_UNCOUNTED_RESPONSE_BYTES = 4096;
+    private static final double RESPONSE_STALL_TIMEOUT_MS = 20_000; // how long a client may leave a response unread
     private static final int SCHEME_SEPARATOR_LENGTH = 3;
     private static final double MS_PER_SECOND = 1000;
     private static final String READINESS_PATH = "/healthz";
 
-    /** A part of a request, and when it was read. */
-    private record QueuedMessage(HttpObject message, double readMs) {}
+    /** A part of a request, and when it was received. */
+    private record QueuedMessage(HttpObject message, double receivedMs) {}
 
     private final ClientServer server;
     private final Node node;
     private final RetryingSocketChannel channel;
+    private final MemoryBudget.Account account;
     private final StrictRequestDecoder decoder;
     private final ArrayDeque<QueuedMessage> queue = new ArrayDeque<>();
     private CloseReason closeReason; // null until this side decides to close
     private int queuedBytes;
+    private long unsentBytes; // of responses that the client has not taken
+    private boolean awaitsSent; // what is unsent will be counted again when it has been sent
     private Future<?> readPauseTimeout; // ends a read pause, in which a close by the client is not noticed
     private boolean closeAfterTransfer; // the connection is closed after the response that is being streamed
     private IncomingRequest incoming; // null once its last byte has been received
@@ -67,15 +80,22 @@
     private boolean closeDelimited; // the close of the connection ends the response
     private boolean closing; // the last response is on its way
     private boolean discarding; // the rest of an unwanted body is being read
+    private boolean gaveUp; // the account has given up: the connection is closed with its last response
     private double partialHeadSinceMs; // since when a head is awaited or incomplete, 0 if neither
     private double lastUsedMs;
-    private double messageReadMs; // when the message being processed was read; the client's time runs from there
+    private double messageReceivedMs; // of the message being processed; the client's time runs from there
 
-    ClientConnection(ClientServer server, Node node, RetryingSocketChannel channel, StrictRequestDecoder decoder) {
+    ClientConnection(ClientServer server, Node node, RetryingSocketChannel channel) {
         this.server = server;
         this.node = node;
         this.channel = channel;
-        this.decoder = decoder;
+        this.account = node.memoryBudget.openAccount(this);
+        this.decoder = new StrictRequestDecoder(this, account);
+    }
+
+    /** The decoder whose requests this connection serves. */
+    StrictRequestDecoder decoder() {
+        return decoder;
     }
 
     @Override
@@ -125,8 +145,10 @@
             transfer.abortIfStalled(now);
         } else if (discarding) {
             if (now - lastUsedMs > DISCARD_TIMEOUT_MS) {
-                close(CloseReason.SLOW);
+                close(gaveUp ? CloseReason.MEMORY : CloseReason.SLOW);
             }
+        } else if (!busy && unsentBytes > 0 && now - lastUsedMs > RESPONSE_STALL_TIMEOUT_MS) {
+            reset(CloseReason.SLOW);
         } else if (incoming != null) {
             double elapsedMs = now - incoming.startedMs;
             // Before the first complete request, time counts from the connect
@@ -151,7 +173,7 @@
      */
     void closeAtDrainEnd() {
         readNow();
-        processQueue(); // what has been read may be a request
+        processHeld(); // what has been read may be a request
         if (incoming != null && !closing) {
             respond(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         } else if (!busy && !closing) {
@@ -194,6 +216,20 @@
             incoming.release();
             incoming = null;
         }
+        account.close();
+    }
+
+    @Override
+    public boolean takesNext(boolean insideRequest) {
+        if (closing) {
+            return discarding;
+        }
+        return insideRequest ? queuedBytes < MAX_DECODED_BYTES : !busy && queue.isEmpty();
+    }
+
+    @Override
+    public double receiveTimeMs() {
+        return node.clock.now() - Math.max(node.eventLoopLag.observeDelayMs(), channel.readDelayMs());
     }
 
     @Override
@@ -205,8 +241,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        double delayMs = Math.max(node.eventLoopLag.observeDelayMs(), channel.readDelayMs());
-        queue.add(new QueuedMessage((HttpObject) message, node.clock.now() - delayMs));
+        queue.add(new QueuedMessage((HttpObject) message, decoder.receiveTimeMs()));
         addQueuedBytes(sizeBytes(message));
     }
 
@@ -215,7 +250,10 @@
         long completeRequests = queue.stream()
                 .filter(queued -> queued.message() instanceof LastHttpContent)
                 .count();
-        return (int) completeRequests + (openRequest != null && openRequest.message.complete() ? 1 : 0);
+        boolean undecoded = busy && !closing && decoder.undecodedBytes() > 0;
+        return (int) completeRequests
+                + (undecoded ? 1 : 0)
+                + (openRequest != null && openRequest.message.complete() ? 1 : 0);
     }
 
     /**
@@ -234,7 +272,7 @@
             return;
         }
         try {
-            processQueue();
+            processHeld();
         } catch (RuntimeException | Error e) { // exceptionCaught is not called for a task
             closeOnError(e);
             return;
@@ -252,14 +290,15 @@
         }
     }
 
-    private int sizeBytes(Object message) {
-        return (message instanceof HttpContent c ? c.content().readableBytes() : 0)
-                + (message instanceof HttpRequest ? HEAD_SIZE_ESTIMATE_BYTES : 0);
+    /** The memory of a queued object, without the fields of a head or trailer, which are counted by themselves. */
+    private static int sizeBytes(Object message) {
+        return CONTENT_OBJECT_BYTES
+                + (message instanceof HttpContent c ? c.content().readableBytes() : 0);
     }
 
     private void addQueuedBytes(int bytes) {
         queuedBytes += bytes;
-        node.memoryBudget.reserve(bytes);
+        account.change(bytes);
     }
 
     private void discardQueue() {
@@ -268,11 +307,30 @@
         addQueuedBytes(-queuedBytes);
     }
 
+    /** Processes what has been decoded, and decodes what was received as far as this connection takes it now. */
+    private void processHeld() {
+        processQueue();
+        try {
+            for (decoder.decodeHeld(); !queue.isEmpty() && !waitsForResponse(); decoder.decodeHeld()) {
+                processQueue();
+            }
+        } catch (Exception e) { // the decoder reports improper messages as such
+            closeOnError(e);
+            return;
+        }
+        updateAutoRead();
+    }
+
+    /** Whether nothing more is processed until the current request has its response. */
+    private boolean waitsForResponse() {
+        return closing || busy && incoming == null;
+    }
+
     private void processQueue() {
-        while (!closing && !queue.isEmpty() && (incoming != null || !busy)) {
+        while (!queue.isEmpty() && !waitsForResponse()) {
             QueuedMessage next = queue.poll();
             HttpObject message = next.message();
-            messageReadMs = next.readMs();
+            messageReceivedMs = next.receivedMs();
             addQueuedBytes(-sizeBytes(message));
             try {
                 if (message instanceof HttpRequest head) {
@@ -282,10 +340,19 @@
                     handleContent(content);
                 }
             } finally {
+                releaseTrailer(message);
                 ReferenceCountUtil.release(message);
             }
         }
-        updateAutoRead();
+    }
+
+    /** Trailers are not used. */
+    private static void releaseTrailer(HttpObject message) {
+        CountedHeaders trailer =
+                message instanceof LastHttpContent last ? CountedHeaders.of(last.trailingHeaders()) : null;
+        if (trailer != null) {
+            trailer.release();
+        }
     }
 
     /**
@@ -294,10 +361,7 @@
     private void updateAutoRead() {
         boolean autoRead = incoming != null && !closing
                 ? incoming.acceptsMore()
-                : queuedBytes
-                        < (node.memoryBudget.nearlyExhausted()
-                                ? IncomingRequest.MAX_SMALL_BODY_BYTES
-                                : MAX_READ_AHEAD_BYTES);
+                : queuedBytes + decoder.undecodedBytes() < MAX_READ_AHEAD_BYTES;
         if (channel.config().isAutoRead() != autoRead) {
             channel.config().setAutoRead(autoRead);
         }
@@ -342,8 +406,8 @@
             respond(HttpResponseStatus.BAD_REQUEST, 0);
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(head);
-        incoming = new IncomingRequest(head, originForm(head.uri()), node.memoryBudget, node.clock.now());
+        keepAlive = HttpUtil.isKeepAlive(head) && !gaveUp;
+        incoming = new IncomingRequest(head, originForm(head.uri()), node.memoryBudget, account, node.clock.now());
         incoming.onAcceptsMore(this::updateAutoRead);
         if (incoming.tooLong()) {
             respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
@@ -358,10 +422,10 @@
             respond(HttpResponseStatus.EXPECTATION_FAILED, 0);
             return;
         }
-        Request request = server.requestReader().read(incoming, messageReadMs);
+        Request request = server.requestReader().read(incoming, messageReceivedMs);
         if (request == null) {
             respondInvalid(incoming);
-        } else if (refusesNewRequests()) {
+        } else if (refusesNewRequest(incoming)) {
             refuseOverload(request);
         } else if (incoming.hasBody()) {
             channel.writeAndFlush(
@@ -378,6 +442,9 @@
             return;
         }
         message.add(content.content());
+        if (message.dropped()) {
+            return;
+        }
         if (message.tooLong()) {
             rejectMalformed();
         } else if (content instanceof LastHttpContent) {
@@ -404,7 +471,7 @@
     private void requestComplete(IncomingRequest message) {
         message.markComplete();
         if (openRequest != null) { // admitted before it was complete
-            Request request = server.requestReader().read(message, messageReadMs);
+            Request request = server.requestReader().read(message, messageReceivedMs);
             node.bodyReceived(openRequest, request.deadlineMs());
         } else if (message.uri.equals(READINESS_PATH)) {
             message.release();
@@ -415,14 +482,15 @@
     }
 
     private void admit(IncomingRequest message) {
-        Request request = server.requestReader().read(message, messageReadMs);
+        Request request = server.requestReader().read(message, messageReceivedMs);
         if (request == null) {
             message.release();
             respondInvalid(message);
-        } else if (refusesNewRequests() || node.clock.now() >= request.deadlineMs()) {
+        } else if (refusesNewRequest(message) || node.clock.now() >= request.deadlineMs()) {
             message.release();
             refuseOverload(request);
         } else {
+            message.admit();
             node.requestReceived(request, message, this);
         }
     }
@@ -435,8 +503,8 @@
                 0);
     }
 
-    private boolean refusesNewRequests() {
-        return node.openLimitReached() || node.memoryBudget.exhausted() || node.drainExpired();
+    private boolean refusesNewRequest(IncomingRequest message) {
+        return node.openLimitReached() || node.memoryBudget.refuses(message.heldBytes()) || node.drainExpired();
     }
 
     private void refuseOverload(Request request) {
@@ -499,6 +567,21 @@
 
     void flush() {
         channel.flush();
+        countUnsent();
+    }
+
+    /** Counts what the client has not taken of its responses, and again once it has. */
+    private void countUnsent() {
+        long unsent = channel.unsentBytes();
+        account.change(unsent - unsentBytes);
+        unsentBytes = unsent;
+        if (unsent > 0 && !awaitsSent) {
+            awaitsSent = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                awaitsSent = false;
+                countUnsent();
+            });
+        }
     }
 
     boolean writable() {
@@ -510,6 +593,7 @@
         transfer = null;
         ChannelFuture lastWrite = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         lastWrite.addListener(listener);
+        countUnsent();
         responseWritten(lastWrite);
     }
 
@@ -519,10 +603,14 @@
      */
     void reset() {
         transfer = null;
+        reset(CloseReason.CUT_OFF);
+    }
+
+    private void reset(CloseReason reason) {
         if (channel.isActive()) {
             channel.config().setSoLinger(0);
         }
-        close(CloseReason.CUT_OFF);
+        close(reason);
     }
 
     void respond(HttpResponseStatus status, double retryAfterMs) {
@@ -535,18 +623,17 @@
     }
 
     private void write(FullHttpResponse response) {
-        int bytes = response.content().readableBytes();
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes);
+        response.headers()
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         setConnectionHeader(response);
-        if (closing || bytes > MAX_UNCOUNTED_RESPONSE_BYTES) {
-            node.memoryBudget.reserve(bytes); // until a slow client has received it
-            ChannelFuture sent = channel.writeAndFlush(response);
-            sent.addListener(f -> node.memoryBudget.release(bytes));
-            responseWritten(sent);
+        ChannelFuture sent = null;
+        if (closing) {
+            sent = channel.writeAndFlush(response);
         } else {
             channel.writeAndFlush(response, channel.voidPromise());
-            responseWritten(null);
         }
+        countUnsent();
+        responseWritten(sent);
     }
 
     /** Decides whether the connection stays open after this response, and sets the Connection header. */
@@ -578,7 +665,7 @@
             closeAfter(sent);
             return;
         }
-        if (queue.isEmpty()) {
+        if (queue.isEmpty() && decoder.undecodedBytes() == 0) {
             server.setIdle(this, true);
         } else { // not at once, as a response may be written while its request is still being processed
             node.loop.execute(this::processRead);
@@ -591,10 +678,14 @@
      */
     private void closeAfter(ChannelFuture sent) {
         discardQueue();
-        discarding = incoming != null;
-        if (discarding) {
+        discarding = incoming != null || gaveUp;
+        if (incoming == null) {
+            decoder.discard();
+        } else {
             incoming.release();
             incoming = null;
+        }
+        if (discarding) {
             sent.addListener(f -> channel.shutdownOutput());
             channel.config().setAutoRead(true);
         } else {
@@ -602,6 +693,72 @@
         }
     }
 
+    /**
+     * Drops what the account counts. Where a response is needed for that, it is sent in a task of its own, as this is
+     * called while this connection or another one handles what it has received.
+     */
+    @Override
+    public void giveUp() {
+        MemoryUse use = memoryUse();
+        node.recordMemoryRejection(use);
+        gaveUp = true;
+        keepAlive = false;
+        closeAfterTransfer = true;
+        if (use != MemoryUse.READ_AHEAD || busy) {
+            discardQueue();
+        }
+        decoder.discard();
+        if (incoming != null && !incoming.admitted()) {
+            incoming.drop();
+        }
+        node.loop.execute(() -> endAfterGivingUp(use));
+    }
+
+    /** What most of the memory in the account is used for. */
+    private MemoryUse memoryUse() {
+        if (unsentBytes > 0 && (transfer != null || !busy)) {
+            return MemoryUse.UNSENT_RESPONSE;
+        }
+        if (busy ? incoming == null : readAheadOfSmallRequest()) {
+            return MemoryUse.READ_AHEAD;
+        }
+        return busy ? MemoryUse.BODY : MemoryUse.HEAD;
+    }
+
+    /** Whether a complete request waits to be processed, and most of the memory is used for what follows it. */
+    private boolean readAheadOfSmallRequest() {
+        long decodedBytes = account.bytes() - decoder.undecodedMemory();
+        return !queue.isEmpty()
+                && queue.peekLast().message() instanceof LastHttpContent
+                && decodedBytes < account.bytes() / MIN_READ_AHEAD_RATIO;
+    }
+
+    private void endAfterGivingUp(MemoryUse use) {
+        if (!channel.isActive()) {
+            return;
+        }
+        switch (use) {
+            case UNSENT_RESPONSE -> cutOff(CloseReason.MEMORY);
+            case BODY -> refuseForMemory(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            case HEAD -> refuseForMemory(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+            default -> {} // the admitted request gets its response, which closes the connection
+        }
+    }
+
+    private void cutOff(CloseReason reason) {
+        if (transfer != null) {
+            transfer.cutOff();
+        } else {
+            reset(reason);
+        }
+    }
+
+    private void refuseForMemory(HttpResponseStatus status) {
+        if (!closing) {
+            respondAndClose(status);
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (transfer != null) {
--- a/src/main/java/deckfall/net/CloseReason.java
+++ b/src/main/java/deckfall/net/CloseReason.java
@@ -18,6 +18,8 @@
     SLOW,
     /** Its response can't be completed, as the host broke it off or either side stalled. */
     CUT_OFF,
+    /** Closed to get back memory: it held most when the memory budget was used up. */
+    MEMORY,
     /** Closed because of an unexpected exception in this program. */
     DEFECT
 }
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -460,14 +460,16 @@
 
     /** One connection to a host. */
     private final class Connection extends ChannelInboundHandlerAdapter
-            implements ResponseTransfer.Source, IncomingRequest.BodyReceiver {
+            implements ResponseTransfer.Source, IncomingRequest.BodyReceiver, MemoryBudget.Holder {
         private final Pool pool;
-        private final StrictResponseDecoder decoder = new StrictResponseDecoder();
+        private final MemoryBudget.Account account = node.memoryBudget.openAccount(this);
+        private final StrictResponseDecoder decoder = new StrictResponseDecoder(account);
         private SocketChannel channel;
         private Exchange exchange;
         private IncomingRequest streamedBody; // the message whose body is being streamed
         private HttpResponse responseHead; // of the response that is being received
         private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER; // the part of the response body that is buffered
+        private int bufferedCapacity; // of that buffer, as counted in the memory budget
         private ResponseTransfer transfer; // set while the response is streamed
         private FullHttpResponse completeResponse; // set until all bytes that were read with it are processed
         private boolean transferComplete; // the same for a streamed response
@@ -621,10 +623,43 @@
                 }
                 boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 responseHead = interim ? null : response;
+                if (interim) {
+                    releaseFields(response.headers());
+                }
             }
             if (object instanceof HttpContent content && responseHead != null) {
                 handleContent(content);
             }
+            if (object instanceof LastHttpContent last) {
+                releaseFields(last.trailingHeaders()); // trailers are not used
+            }
+        }
+
+        private static void releaseFields(HttpHeaders headers) {
+            CountedHeaders counted = CountedHeaders.of(headers);
+            if (counted != null) {
+                counted.release();
+            }
+        }
+
+        /** Drops what the account counts, and ends the attempt as for a response that can't be read. */
+        @Override
+        public void giveUp() {
+            node.recordMemoryRejection(MemoryUse.HOST_RESPONSE);
+            decoder.discard();
+            CountedHeaders head = responseHead == null ? null : CountedHeaders.of(responseHead.headers());
+            if (head != null && completeResponse == null) {
+                head.clear();
+            }
+            node.loop.execute(this::endAfterGivingUp);
+        }
+
+        private void endAfterGivingUp() {
+            if (exchange != null || transfer != null) {
+                rejectResponse("no memory for its head");
+            } else {
+                channel.close();
+            }
         }
 
         /**
@@ -648,7 +683,9 @@
 
         private void handleContent(HttpContent content) {
             int bytes = content.content().readableBytes();
-            if (transfer == null && bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES && !startTransfer()) {
+            boolean tooLong = bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES;
+            boolean stream = transfer == null && (tooLong || bytes > 0 && node.memoryBudget.exhausted());
+            if (stream && !startTransfer() && tooLong) {
                 rejectResponse("response too long to be buffered");
                 return;
             }
@@ -667,10 +704,14 @@
                 bufferedBody = channel.alloc().buffer(content.readableBytes());
             }
             bufferedBody.writeBytes(content);
+            node.memoryBudget.reserve(bufferedBody.capacity() - bufferedCapacity);
+            bufferedCapacity = bufferedBody.capacity();
         }
 
         private ByteBuf takeBufferedBody() {
             ByteBuf body = bufferedBody;
+            node.memoryBudget.release(bufferedCapacity);
+            bufferedCapacity = 0;
             bufferedBody = Unpooled.EMPTY_BUFFER;
             return body;
         }
@@ -737,12 +778,14 @@
                     && !unexpectedData
                     && !decoder.hasPartialMessage()
                     && !pool.closed
+                    && !account.closed()
                     && HttpUtil.isKeepAlive(responseHead)) {
                 idleSinceMs = node.clock.now();
                 pool.idle.addLast(this);
             } else {
                 channel.close();
             }
+            releaseFields(responseHead.headers());
             responseHead = null;
         }
 
@@ -767,6 +810,7 @@
             }
             connectionLost();
             takeBufferedBody().release();
+            account.close();
         }
 
         @Override
--- a/src/main/java/deckfall/net/IncomingRequest.java
+++ b/src/main/java/deckfall/net/IncomingRequest.java
@@ -10,6 +10,8 @@
  * A request that is being received from its client: the head, and the part of the body that has arrived and was not
  * forwarded yet. A body that was received completely can be sent any number of times; one that was streamed while it
  * arrived can be sent only once.
+ *
+ * <p>Its memory counts in the account of its connection until the request is admitted, then as an admitted request's.
  */
 final class IncomingRequest {
     static final int MAX_BODY_BYTES = 32 << 20;
@@ -34,6 +36,10 @@
     final long declaredBytes; // -1 for a chunked body
     final double startedMs;
     private final MemoryBudget memoryBudget;
+    private final MemoryBudget.Account account;
+    private final CountedHeaders countedHeaders; // null if the message could not be read
+    private long heldBytes; // of the head and the buffer
+    private boolean admitted;
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private BodyReceiver receiver;
     private Runnable acceptsMoreListener = () -> {};
@@ -41,11 +47,15 @@
     private boolean complete;
     private boolean streamed; // at least partly forwarded to a receiver
     private boolean released;
+    private boolean dropped;
 
-    IncomingRequest(HttpRequest head, String uri, MemoryBudget memoryBudget, double now) {
+    IncomingRequest(HttpRequest head, String uri, MemoryBudget memoryBudget, MemoryBudget.Account account, double now) {
         this.head = head;
         this.uri = uri;
         this.memoryBudget = memoryBudget;
+        this.account = account;
+        this.countedHeaders = CountedHeaders.of(head.headers());
+        this.heldBytes = countedHeaders == null ? 0 : countedHeaders.bytes();
         this.startedMs = now;
         this.declaredBytes = HttpUtil.getContentLength(head, (long) UNKNOWN_LENGTH);
     }
@@ -86,14 +96,75 @@
         if (receiver != null) {
             receiver.writeBody(content.retain());
         } else if (!streamed && !released && bytes > 0) {
-            if (buffered == Unpooled.EMPTY_BUFFER) {
-                buffered = PooledByteBufAllocator.DEFAULT.heapBuffer(bytes);
-            }
-            buffered.writeBytes(content);
-            memoryBudget.reserve(bytes);
+            buffer(content, bytes);
         }
     }
 
+    private void buffer(ByteBuf content, int bytes) {
+        int size = buffered.readableBytes() + bytes;
+        if (size > buffered.capacity() && !hold(newCapacity(size) - buffered.capacity())) {
+            return; // dropped, as its account has given up
+        }
+        if (buffered == Unpooled.EMPTY_BUFFER) {
+            buffered = PooledByteBufAllocator.DEFAULT.heapBuffer(bytes);
+        }
+        buffered.writeBytes(content);
+    }
+
+    /** The capacity that the buffer gets for this many bytes. */
+    private int newCapacity(int size) {
+        return buffered == Unpooled.EMPTY_BUFFER
+                ? size
+                : buffered.alloc().calculateNewCapacity(size, Integer.MAX_VALUE);
+    }
+
+    private boolean hold(int more) {
+        if (admitted) {
+            memoryBudget.reserve(more);
+        } else if (!account.reserve(more)) {
+            return false;
+        }
+        heldBytes += more;
+        return true;
+    }
+
+    private void release(long less) {
+        heldBytes -= less;
+        if (admitted) {
+            memoryBudget.release(less);
+        } else {
+            account.release(less);
+        }
+    }
+
+    /** The memory that this request takes. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
+    /** From now on the memory counts as that of an admitted request, until {@link #release}. */
+    void admit() {
+        admitted = true;
+        account.moveToAdmitted(heldBytes);
+    }
+
+    boolean admitted() {
+        return admitted;
+    }
+
+    boolean dropped() {
+        return dropped;
+    }
+
+    /** Drops what is held of a request that was not admitted, as its connection has to give up its memory. */
+    void drop() {
+        dropped = true;
+        if (countedHeaders != null) {
+            countedHeaders.clear();
+        }
+        release();
+    }
+
     void markComplete() {
         complete = true;
         if (receiver != null) {
@@ -130,7 +201,7 @@
     void streamTo(BodyReceiver bodyReceiver) {
         streamed = true;
         receiver = bodyReceiver;
-        memoryBudget.release(buffered.readableBytes());
+        release(buffered.capacity());
         ByteBuf first = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
         if (first.isReadable()) {
@@ -155,7 +226,7 @@
     void release() {
         if (!released) {
             released = true;
-            memoryBudget.release(buffered.readableBytes());
+            release(heldBytes);
             buffered.release();
             buffered = Unpooled.EMPTY_BUFFER;
         }
--- a/src/main/java/deckfall/net/Metrics.java
+++ b/src/main/java/deckfall/net/Metrics.java
@@ -34,6 +34,7 @@
     private final LongAdder concurrent = new LongAdder();
     private volatile int targets;
     private volatile int targetsDisabled;
+    private final Map<MemoryUse, LongAdder> memoryRejections = new EnumMap<>(MemoryUse.class);
     private volatile long memoryHeldBytes;
     private volatile long memoryLimitBytes;
 
@@ -45,12 +46,20 @@
             }
             results.put(c.name(), counts);
         }
+        for (MemoryUse use : MemoryUse.values()) {
+            memoryRejections.put(use, new LongAdder());
+        }
     }
 
     void recordResult(String requestClass, Result result) {
         results.get(requestClass).get(result).increment();
     }
 
+    /** Counts a connection that had to give up what it held, as the memory budget was used up. */
+    void recordMemoryRejection(MemoryUse use) {
+        memoryRejections.get(use).increment();
+    }
+
     /** Counts an attempt whose last byte has been sent to its host. */
     void recordDispatch() {
         dispatches.increment();
@@ -100,6 +109,8 @@
         appendLine(text, "concurrent", openRequests());
         appendLine(text, "targets", targets);
         appendLine(text, "targets_disabled", targetsDisabled);
+        memoryRejections.forEach((use, count) ->
+                appendLine(text, "memory_rejected_total{type=\"" + use.metricName() + "\"}", count.sum()));
         appendLine(text, "memory_held_bytes", memoryHeldBytes);
         appendLine(text, "memory_limit_bytes", memoryLimitBytes);
         appendLine(text, "heap_used_bytes", heapUsedBytes());
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -51,7 +51,8 @@
     private static final long FINAL_TALLY_TIMEOUT_MS = 100; // for the last tally line to be logged
     private static final long DRAIN_POLL_INTERVAL_MS = 20; // how often a drain checks whether all requests are answered
     private static final long GAUGE_INTERVAL_MS = 100; // how often the metrics of current values are updated
-    private static final int BUFFER_HEAP_DIVISOR = 4; // buffers of client and host data may use 1/4 of the heap
+    private static final int HELD_HEAP_DIVISOR = 4; // what peers make the node hold may use 1/4 of the heap
+    private static final int HEAP_MEMORY_DIVISOR = 4; // and the heap counts as at most 1/4 of the process's memory
     private static final double ASSUMED_BODY_BYTES_PER_MS = 64; // the slowest rate expected for the rest of a body
     private static final double MICROS_PER_MS = 1000;
     private static final double[] NO_LOAD_METRICS = new double[0];
@@ -68,7 +69,7 @@
             new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), () -> eventLoopLag);
     final EventLoop loop = group.next();
     final Tally tally = new Tally();
-    final MemoryBudget memoryBudget = new MemoryBudget(Runtime.getRuntime().maxMemory() / BUFFER_HEAP_DIVISOR);
+    final MemoryBudget memoryBudget;
     final Metrics metrics;
     private final Events module;
     private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
@@ -106,6 +107,7 @@
     Node(NodeConfig config, Function<Actions, Events> moduleFactory, Clock clock) {
         this.config = config;
         this.clock = clock;
+        this.memoryBudget = new MemoryBudget(heldBytesLimit(config), config.sockets());
         this.metrics = new Metrics(config.settings().classes());
         this.module = moduleFactory.apply(this);
         this.clientServer = new ClientServer(this);
@@ -116,6 +118,12 @@
         this.drain = new Drain(loop, clock, clientServer);
     }
 
+    /** The memory that peers may make this node hold, by the process's memory limit and the heap that it was given. */
+    private static long heldBytesLimit(NodeConfig config) {
+        long heapBytes = Math.min(Runtime.getRuntime().maxMemory(), config.memoryBytes() / HEAP_MEMORY_DIVISOR);
+        return heapBytes / HELD_HEAP_DIVISOR;
+    }
+
     /**
      * Serves until SIGTERM. An invalid configuration or an address that cannot be bound ends the process with one line
      * on standard error.
@@ -448,6 +456,12 @@
         }
     }
 
+    /** Records that a connection had to give up what it held, as the memory budget was used up. */
+    void recordMemoryRejection(MemoryUse use) {
+        metrics.recordMemoryRejection(use);
+        tally.addMemoryRejection(use);
+    }
+
     /** The commands of the operator's address. */
     OperatorServer.Commands operatorCommands() {
         return new OperatorServer.Commands() {
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -35,6 +35,7 @@
         List<InetSocketAddress> peers,
         InetSocketAddress peerBroadcast,
         int sockets,
+        long memoryBytes,
         JsonNode knownList,
         Settings settings,
         double connectTimeoutMs,
@@ -45,6 +46,8 @@
     private static final int HEX_RADIX = 16;
     private static final String OPERATOR_KEY = "operator";
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_MEMORY_MB = 192;
+    private static final long BYTES_PER_MB = 1 << 20;
     private static final int WARM_UP_SOCKETS = 32; // as a process that serves beside it may hold all the others
     private static final double DEFAULT_CONNECTION_IDLE_MS = 15_000;
     private static final double DEFAULT_COUNTER_TIMEOUT_MS = 80;
@@ -127,6 +130,7 @@
                 List.copyOf(peers),
                 root.hasNonNull("peers_all") ? parseAddress(requiredText(root, "peers_all")) : null,
                 root.path("limits").path("sockets").asInt(DEFAULT_SOCKETS),
+                root.path("limits").path("memory_mb").asInt(DEFAULT_MEMORY_MB) * BYTES_PER_MB,
                 root.path("known"),
                 settings,
                 settings.limits().connectTimeoutMs(),
@@ -173,6 +177,7 @@
                 List.of(),
                 null,
                 Math.min(sockets, WARM_UP_SOCKETS),
+                memoryBytes,
                 list,
                 settings,
                 connectTimeoutMs,
--- a/src/main/java/deckfall/net/ResponseTransfer.java
+++ b/src/main/java/deckfall/net/ResponseTransfer.java
@@ -40,6 +40,9 @@
             content.release();
         } else {
             client.writeContent(content);
+            if (!client.writable()) {
+                client.flush(); // not only once the host's connection has been read: many short parts take much memory
+            }
         }
     }
 
@@ -81,11 +84,16 @@
 
     void abortIfStalled(double now) {
         if (!finished && now - lastProgressMs > STALL_TIMEOUT_MS) {
-            source.abandon();
-            abort();
+            cutOff();
         }
     }
 
+    /** Ends the transfer on this side. The client must notice that its response is incomplete. */
+    void cutOff() {
+        source.abandon();
+        abort();
+    }
+
     private boolean markFinished() {
         boolean first = !finished;
         finished = true;
--- a/src/main/java/deckfall/net/RetryingSocketChannel.java
+++ b/src/main/java/deckfall/net/RetryingSocketChannel.java
@@ -13,6 +13,7 @@
  */
 final class RetryingSocketChannel extends NioSocketChannel {
     private static final int END_OF_STREAM = -1;
+    private static final int PENDING_WRITE_BYTES = 400; // the objects of a pending write, without its bytes
     private static final double MAX_FAILING_MS = 1000; // after this the connection counts as broken
 
     private final boolean accepted; // from a client, which must get a response even if it is reported unreachable
@@ -51,6 +52,12 @@
         return out == null || out.isEmpty();
     }
 
+    /** The memory of what was written to this channel and the system has not taken yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer out = unsafe().outboundBuffer(); // null once closed
+        return out == null ? 0 : out.totalPendingWriteBytes() + (long) out.size() * PENDING_WRITE_BYTES;
+    }
+
     /** Resets the read delay: bytes that are read from now on have arrived since. */
     void resetReadDelay() {
         readDelayMs = 0;
--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -1,24 +1,134 @@
 package deckfall.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
- * Decodes requests from clients and rejects those whose length is ambiguous. Netty itself drops a Content-Length next
- * to chunked encoding, which an intermediary must not do.
+ * Decodes requests from clients, one at a time: bytes behind a request stay as they were received until the connection
+ * takes the next one, as decoded messages take a multiple of the memory. What the decoder holds is counted in the
+ * connection's account.
+ *
+ * <p>Rejects requests whose length is ambiguous. Netty itself drops a Content-Length next to chunked encoding, which an
+ * intermediary must not do.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
+    /** The connection that takes the decoded requests. */
+    interface Receiver {
+        /**
+         * Whether the connection takes the next object now: the start of a request, or a further part of the one whose
+         * head it has.
+         */
+        boolean takesNext(boolean insideRequest);
+
+        /** When the bytes that are read now arrived, at the earliest. */
+        double receiveTimeMs();
+    }
+
+    private final Receiver receiver;
+    private final DecoderMemory memory;
     private final MessageProgress messageProgress = new MessageProgress();
+    private final ReceiveTimes receiveTimes = new ReceiveTimes();
+    private ChannelHandlerContext context;
+    private boolean reading; // inside a call of channelRead
+    private boolean discarding; // whatever arrives is dropped
+
+    StrictRequestDecoder(Receiver receiver, MemoryBudget.Account account) {
+        this(receiver, new DecoderMemory(account));
+    }
+
+    private StrictRequestDecoder(Receiver receiver, DecoderMemory memory) {
+        super(memory.decoderConfig());
+        this.receiver = receiver;
+        this.memory = memory;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+        super.handlerAdded(ctx);
+        context = ctx;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        receiveTimes.received(((ByteBuf) message).readableBytes(), receiver.receiveTimeMs());
+        decodeWith((ByteBuf) message);
+    }
+
+    private void decodeWith(ByteBuf received) throws Exception {
+        reading = true;
+        try {
+            super.channelRead(context, received);
+        } finally {
+            reading = false;
+        }
+        memory.undecoded(undecodedBytes() == 0 ? 0 : internalBuffer().capacity());
+    }
+
+    /** Decodes on in the bytes that are held, if the connection takes more. Must not be called inside a read. */
+    void decodeHeld() throws Exception {
+        if (undecodedBytes() > 0 && receiver.takesNext(messageProgress.insideMessage())) {
+            decodeWith(Unpooled.EMPTY_BUFFER);
+        }
+    }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        int startIndex = in.readerIndex();
-        int sizeBefore = out.size();
-        super.decode(ctx, in, out);
-        messageProgress.decoded(in, startIndex, out, sizeBefore);
+        if (!discarding && !receiver.takesNext(messageProgress.insideMessage())) {
+            return;
+        }
+        if (!discarding) {
+            int startIndex = in.readerIndex();
+            int sizeBefore = out.size();
+            super.decode(ctx, in, out);
+            messageProgress.decoded(in, startIndex, out, sizeBefore);
+            if (out.size() > sizeBefore) {
+                memory.handedOver();
+            }
+        }
+        if (discarding) { // perhaps only since the call
+            out.forEach(ReferenceCountUtil::release);
+            out.clear();
+            in.skipBytes(in.readableBytes());
+        }
+    }
+
+    /** Drops what is held of further requests, and all that still arrives. */
+    void discard() {
+        discarding = true;
+        memory.dropIncomplete();
+        if (reading || undecodedBytes() == 0) { // a call that is reading drops what it has
+            return;
+        }
+        try {
+            decodeWith(Unpooled.EMPTY_BUFFER);
+        } catch (Exception e) { // nothing is decoded any more
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        HttpMessage message = super.createMessage(initialLine);
+        CountedHeaders.countStartLine(message, initialLine[1].length());
+        return message;
+    }
+
+    @Override
+    protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
+        memory.line(line);
+        return super.splitSecondWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        memory.line(line);
+        return super.splitHeaderName(line, start, length);
     }
 
     @Override
@@ -26,8 +136,23 @@
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
     }
 
-    /** Whether bytes have been received that do not form a complete message yet. */
+    /** When the object that was decoded last had been received, at the earliest. */
+    double receiveTimeMs() {
+        return receiveTimes.lastDecoded(undecodedBytes());
+    }
+
+    /** The memory of the buffer that holds undecoded bytes. */
+    int undecodedMemory() {
+        return memory.undecoded();
+    }
+
+    /** The number of bytes that were received and not decoded yet. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    /** Whether bytes have been received that do not form a complete message yet, or that were not decoded yet. */
     boolean hasPartialMessage() {
-        return actualReadableBytes() > 0 || messageProgress.insideMessage();
+        return undecodedBytes() > 0 || !discarding && messageProgress.insideMessage();
     }
 }
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -35,6 +35,7 @@
     private final Map<Refusal, Long> refusals = new EnumMap<>(Refusal.class);
     private final Map<CloseReason, Long> closes = new EnumMap<>(CloseReason.class); // of client connections
     private final Map<DispatchRule.Verdict, Long> notSent = new EnumMap<>(DispatchRule.Verdict.class);
+    private final Map<MemoryUse, Long> memoryRejections = new EnumMap<>(MemoryUse.class);
     private int notesInPeriod;
 
     void add(Count event) {
@@ -57,6 +58,10 @@
         notSent.merge(reason, 1L, Long::sum);
     }
 
+    void addMemoryRejection(MemoryUse use) {
+        memoryRejections.merge(use, 1L, Long::sum);
+    }
+
     void addClose(CloseReason reason) {
         closes.merge(reason, 1L, Long::sum);
     }
@@ -80,12 +85,14 @@
         refusals.forEach((reason, count) -> line.add("refused_" + reason + "=" + count));
         closes.forEach((reason, count) -> line.add("closed_" + reason + "=" + count));
         notSent.forEach((reason, count) -> line.add("not_sent_" + reason + "=" + count));
+        memoryRejections.forEach((use, count) -> line.add("memory_rejected_" + use + "=" + count));
         counts.clear();
         attempts.clear();
         counterCalls.clear();
         refusals.clear();
         closes.clear();
         notSent.clear();
+        memoryRejections.clear();
         notesInPeriod = 0;
         return line.length() == 0 ? null : line.toString();
     }
--- a/src/test/java/deckfall/net/DispatchRuleTest.java
+++ b/src/test/java/deckfall/net/DispatchRuleTest.java
@@ -14,11 +14,15 @@
     private static final double DEADLINE_MS = 1000;
     private static final int MAX_ATTEMPTS = 3;
 
-    private final MemoryBudget memoryBudget = new MemoryBudget(1 << 20);
+    private final MemoryBudget memoryBudget = new MemoryBudget(1 << 20, 1);
     private final OpenRequest request = new OpenRequest(
             new Request("r", DEADLINE_MS, false, "view", 1, "free", 1, 0, 1),
             new IncomingRequest(
-                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/view"), "/view", memoryBudget, 0),
+                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/view"),
+                    "/view",
+                    memoryBudget,
+                    memoryBudget.openAccount(() -> {}),
+                    0),
             "r",
             null);
 
