Contain an Error where it occurs instead of losing the event loop with it

Cause: Netty contains what a handler or a task throws by catching and logging it. With the heap exhausted the code that handles the first error fails as well: the line "client connection closed by ..." can't be built, nor can Netty's warning of it, and the second error leaves the loop, which rethrows any Error and ends. Observed with an Error that can't be turned into text, without any memory pressure: "thrown from the UncaughtExceptionHandler in thread nioEventLoopGroup-2-1", and no further answer.

Change: ErrorReport never throws; it frees a reserve of 512 kB of heap on an OutOfMemoryError, which is taken again later, and falls back to a fixed line. Connections, the listener, discovery and Netty's log handler report through it. The decision module's Errors are contained for each event, as its exceptions were: before, one at the end of an attempt left the request in the table for good, and no drain ended. Periodic work goes on after a throw, where the executor cancelled it silently (the check for slow clients, the tally). A listener isn't closed by an Error in accept. If the event loop ends all the same, the process exits, so that the platform starts another one: without it, it could only hold its clients' connections.

--- a/src/main/java/deckfall/net/AcceptRetry.java
+++ b/src/main/java/deckfall/net/AcceptRetry.java
@@ -41,8 +41,12 @@
     private void logFailure(Throwable cause) {
         long now = System.nanoTime();
         if (!logged || now - lastLoggedNanos > LOG_INTERVAL_NANOS) {
-            Node.log("accept: " + cause.getMessage() + ", tried again every " + RETRY_DELAY_MS + " ms");
             lastLoggedNanos = now;
+            if (cause instanceof Error) {
+                ErrorReport.report("accept failed", cause);
+            } else {
+                Node.log("accept: " + cause.getMessage() + ", tried again every " + RETRY_DELAY_MS + " ms");
+            }
         }
         logged = true;
     }
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -771,10 +771,10 @@
         closeOnError(cause);
     }
 
-    private void closeOnError(Throwable cause) {
+    void closeOnError(Throwable cause) {
         boolean ioError = cause instanceof IOException;
         if (!ioError) {
-            Node.log("defect: client connection closed by " + cause);
+            ErrorReport.report("client connection closed", cause);
         }
         close(ioError ? CloseReason.BROKEN : CloseReason.DEFECT);
     }
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -12,7 +12,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -86,8 +85,7 @@
         }
         if (!checksScheduled) {
             checksScheduled = true;
-            node.loop.scheduleAtFixedRate(
-                    this::checkConnections, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            node.repeat(CHECK_INTERVAL_MS, "check of connections", this::checkConnections);
         }
         return bindFuture;
     }
--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -219,7 +219,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!failureLogged && !node.warmingUp()) { // one line for failures in a row
+            if (cause instanceof Error) {
+                ErrorReport.report("discovery failed", cause);
+            } else if (!failureLogged && !node.warmingUp()) { // one line for failures in a row
                 Node.log("discovery: " + cause.getMessage());
             }
             failureLogged = true;
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -815,6 +815,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof Error) {
+                ErrorReport.report("host connection closed", cause);
+            }
             connectionLost();
             channel.close();
         }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -150,6 +150,7 @@
             int warmUpRequests = WarmUp.warmUp(config, inherited == null && config.wasInService());
             startupTimes.phaseEnded("warm-up");
             node.readSiblingCustomers();
+            node.group.terminationFuture().addListener(f -> haltWithoutEventLoop());
             started.set(node);
             node.start(inherited, startupTimes);
             log("serving on " + config.listen() + " after " + warmUpRequests + " rehearsed requests");
@@ -171,6 +172,13 @@
         }
     }
 
+    /** Without its event loop the process could only hold connections. The platform starts another one. */
+    private static void haltWithoutEventLoop() {
+        ErrorReport.contain("end of the event loop", () -> log("defect: the event loop has ended"))
+                .run();
+        Runtime.getRuntime().halt(1);
+    }
+
     private static OperatorServer startOperator(NodeConfig config, Node node) throws IOException {
         OperatorServer operator = new OperatorServer(config.operator(), node.operatorCommands());
         operator.start();
@@ -240,10 +248,8 @@
                         }
                         discovery.start();
                         counterClient.start();
-                        loop.scheduleAtFixedRate(
-                                this::logTally, Tally.PERIOD_MS, Tally.PERIOD_MS, TimeUnit.MILLISECONDS);
-                        loop.scheduleAtFixedRate(
-                                this::updateGauges, GAUGE_INTERVAL_MS, GAUGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                        repeat(Tally.PERIOD_MS, "tally", this::logTally);
+                        repeat(GAUGE_INTERVAL_MS, "gauges", this::updateGauges);
                     })
                     .sync();
             startupTimes.phaseEnded("module and known list"); // the counter's connect is started and not awaited
@@ -280,8 +286,12 @@
         root.addHandler(new Handler() {
             @Override
             public void publish(LogRecord record) {
-                log(record.getLevel() + " " + record.getMessage()
-                        + (record.getThrown() == null ? "" : " " + record.getThrown()));
+                try {
+                    log(record.getLevel() + " " + record.getMessage()
+                            + (record.getThrown() == null ? "" : " " + record.getThrown()));
+                } catch (Error e) { // an error thrown here would end the event loop
+                    ErrorReport.report("a warning of Netty was not logged", e);
+                }
             }
 
             @Override
@@ -304,6 +314,12 @@
         }
     }
 
+    /** Runs an action on the event loop again and again, also after it has thrown an exception or error. */
+    void repeat(long intervalMs, String name, Runnable action) {
+        loop.scheduleAtFixedRate(
+                ErrorReport.contain(name + " failed", action), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+    }
+
     static void log(String line) {
         System.err.println(line);
     }
@@ -333,9 +349,8 @@
             for (Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
                 try {
                     next.deliver(clock.now(), module);
-                } catch (RuntimeException e) { // the deadline timer still answers the request
-                    log("defect: the decision module threw " + e);
-                    e.printStackTrace();
+                } catch (RuntimeException | Error e) { // the deadline timer still answers the request
+                    ErrorReport.report("the decision module failed", e);
                 }
             }
         } finally {
@@ -435,6 +450,7 @@
     }
 
     private void updateGauges() {
+        ErrorReport.refillReserve();
         metrics.targets(hostClient.hostCount(), module.avoidedHostCount(clock.now()));
         metrics.memory(memoryBudget.usedBytes(), memoryBudget.limitBytes());
     }
@@ -527,7 +543,15 @@
         tally.add(Tally.Count.TAKEN);
         client.setOpenRequest(entry);
         scheduleDeadline(entry);
-        deliver((now, m) -> m.requestReceived(now, delivered));
+        deliver((now, m) -> deliverRequest(now, m, delivered, client));
+    }
+
+    private static void deliverRequest(double now, Events module, Request request, ClientConnection client) {
+        try {
+            module.requestReceived(now, request);
+        } catch (Error e) { // its request may never be answered
+            client.closeOnError(e);
+        }
     }
 
     private static Request withDeadline(Request request, String id, double laterMs) {
--- a/src/main/java/deckfall/net/RetryingServerSocketChannel.java
+++ b/src/main/java/deckfall/net/RetryingServerSocketChannel.java
@@ -38,13 +38,19 @@
         }
         try {
             accepted.add(new RetryingSocketChannel(this, socket, queueWaitMs));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             socket.close();
             throw e;
         }
         return 1;
     }
 
+    /** Goes on listening after an error: only the connection that could not be accepted is lost. */
+    @Override
+    protected boolean closeOnReadError(Throwable cause) {
+        return !(cause instanceof Error) && super.closeOnReadError(cause);
+    }
+
     private SocketChannel accept() throws IOException {
         try {
             SocketChannel socket = javaChannel().accept();
