--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -11,34 +11,22 @@
 import deckfall.net.TestEndpoints.Client;
 import deckfall.net.TestEndpoints.Message;
 import deckfall.net.TestEndpoints.Server;
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Tests the calls of a node to discovery and how it applies the lists it receives. */
 class DiscoveryTest {
     private static final String DRAINING = "draining";
-    private final Deque<Closeable> closeables = new ArrayDeque<>();
-    private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
 
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : closeables) {
-            c.close();
-        }
-    }
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
 
-    private <T extends Closeable> T closeLater(T closeable) {
-        closeables.push(closeable);
-        return closeable;
-    }
+    private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
 
     private static void respondOk(Message m, Socket s) throws IOException {
         s.getOutputStream().write(okResponse(m.header("X-Trace-Id")));
@@ -46,7 +34,7 @@
 
     /** Responds to each call with the next of {@code responses}; an empty one closes the connection. */
     private Server discovery() throws IOException {
-        return closeLater(new Server((m, s) -> {
+        return closeables.closeLater(new Server((m, s) -> {
             String body = responses.take();
             if (body.isEmpty()) {
                 s.close();
@@ -78,8 +66,8 @@
     /** If many gateways started at once with full lists, their calls would queue up and changes would arrive late. */
     @Test
     void startupRequestsChangesSinceTheKnownList() throws Exception {
-        Server old = closeLater(new Server(DiscoveryTest::respondOk));
-        Server fresh = closeLater(new Server(DiscoveryTest::respondOk));
+        Server old = closeables.closeLater(new Server(DiscoveryTest::respondOk));
+        Server fresh = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         Server discovery = discovery();
         responses.add(
                 hostList(9, false, hostEntry("a", old.address(), DRAINING), hostEntry("b", fresh.address(), "ready")));
@@ -102,7 +90,7 @@
     /** As if discovery had lost its state: changes since its own version numbers do not apply to the known list. */
     @Test
     void changesOfAnOlderVersionLeadToAFullList() throws Exception {
-        Server host = closeLater(new Server(DiscoveryTest::respondOk));
+        Server host = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         Server discovery = discovery();
         responses.add(hostList(2, false, hostEntry("a", host.address(), "gone")));
         responses.add(hostList(2, true, hostEntry("a", host.address(), "ready")));
@@ -115,7 +103,7 @@
 
     @Test
     void malformedListIsIgnored() throws Exception {
-        Server host = closeLater(new Server(DiscoveryTest::respondOk));
+        Server host = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         Server discovery = discovery();
         responses.add("{\"servers\":[" + hostEntry("a", host.address(), DRAINING) + "]}");
         responses.add(
@@ -139,9 +127,9 @@
     /** As from a discovery agent that lags behind: a drain or removal stays in force until the host restarts. */
     @Test
     void olderListDoesNotRevertADrain() throws Exception {
-        Server drainingHost = closeLater(new Server(DiscoveryTest::respondOk));
-        Server goneHost = closeLater(new Server(DiscoveryTest::respondOk));
-        Server readyHost = closeLater(new Server(DiscoveryTest::respondOk));
+        Server drainingHost = closeables.closeLater(new Server(DiscoveryTest::respondOk));
+        Server goneHost = closeables.closeLater(new Server(DiscoveryTest::respondOk));
+        Server readyHost = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         Server discovery = discovery();
         String[] old = {
             hostEntry("a", drainingHost.address(), "ready"),
@@ -171,7 +159,7 @@
 
     @Test
     void olderListStillReportsARestartedHost() throws Exception {
-        Server host = closeLater(new Server(DiscoveryTest::respondOk));
+        Server host = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         Server discovery = discovery();
         responses.add(hostList(9, true, hostEntry("a", host.address(), DRAINING)));
         responses.add(hostList(
@@ -192,7 +180,7 @@
         String unavailable = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
         String truncated = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\":8,";
         BlockingQueue<String> rawResponses = new LinkedBlockingQueue<>();
-        Server discovery = closeLater(new Server((m, s) -> {
+        Server discovery = closeables.closeLater(new Server((m, s) -> {
             String text = rawResponses.take();
             s.getOutputStream().write(TestEndpoints.bytes(text));
             if (!text.endsWith("}")) {
@@ -217,11 +205,11 @@
 
     @Test
     void indentedListReceivedByteByByteIsParsed() throws Exception {
-        Server host = closeLater(new Server(DiscoveryTest::respondOk));
+        Server host = closeables.closeLater(new Server(DiscoveryTest::respondOk));
         ObjectMapper json = new ObjectMapper();
         String list = json.readTree(hostList(9, false, hostEntry("a", host.address(), "ready")))
                 .toPrettyString();
-        Server discovery = closeLater(new Server((m, s) -> {
+        Server discovery = closeables.closeLater(new Server((m, s) -> {
             if (m.startLine().contains("hold_ms=0")) {
                 s.setTcpNoDelay(true);
                 for (byte b : okResponse(list)) {
--- a/src/test/java/deckfall/net/DrainTest.java
+++ b/src/test/java/deckfall/net/DrainTest.java
@@ -18,14 +18,11 @@
 import deckfall.net.TestEndpoints.Server;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import java.io.Closeable;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * Tests the drain at the end of a process. The time until SIGKILL depends on the longest deadline of the settings, and
@@ -33,19 +30,9 @@
  */
 class DrainTest {
     private static final double KILL_DELAY_MS = 700;
-    private final Deque<Closeable> closeables = new ArrayDeque<>();
 
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : closeables) {
-            c.close();
-        }
-    }
-
-    private <T extends Closeable> T closeLater(T closeable) {
-        closeables.push(closeable);
-        return closeable;
-    }
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
 
     private static Settings settings(int longestDeadlineMs) throws Exception {
         String config = TestEndpoints.config("127.0.0.1:1", "127.0.0.1:0")
@@ -68,14 +55,14 @@
     }
 
     private Node node(String... entries) throws IOException {
-        DiscoveryServer discoveryServer = closeLater(new DiscoveryServer(hostList(1, true, entries)));
+        DiscoveryServer discoveryServer = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
         Node node = TestEndpoints.node(TestEndpoints.config(discoveryServer.server.address(), "127.0.0.1:0"));
         closeables.push(node::stop);
         return node;
     }
 
     private Client client(Node node) throws IOException {
-        return closeLater(new Client(node));
+        return closeables.closeLater(new Client(node));
     }
 
     /**
@@ -84,7 +71,7 @@
      */
     @Test
     void nothingStaysOpenAtTheDrainsEnd() throws Exception {
-        Server hangingHost = closeLater(new Server((m, s) -> {}));
+        Server hangingHost = closeables.closeLater(new Server((m, s) -> {}));
         Node node = node(hostEntry("h0", hangingHost.address(), "ready"));
         Client sent = client(node).send(orderRequest("out", "b"));
         assertNotNull(hangingHost.nextRequest());
@@ -108,7 +95,7 @@
     @Test
     void pipelinedRequestsAreAnsweredInADrain() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        Server host = closeLater(new Server((m, s) -> {
+        Server host = closeables.closeLater(new Server((m, s) -> {
             assertTrue(release.await(TestEndpoints.TIMEOUT_MS, TimeUnit.MILLISECONDS));
             s.getOutputStream().write(TestEndpoints.okResponse(m.header("X-Trace-Id")));
         }));
@@ -150,7 +137,8 @@
     void unwrittenResponsesSurviveTheDrainsEnd() throws Exception {
         int count = 150; // more than the system's buffers hold for a client that does not read
         String body = "x".repeat(60_000);
-        Server host = closeLater(new Server((m, s) -> s.getOutputStream().write(TestEndpoints.okResponse(body))));
+        Server host =
+                closeables.closeLater(new Server((m, s) -> s.getOutputStream().write(TestEndpoints.okResponse(body))));
         Node node = node(hostEntry("h0", host.address(), "ready"));
         Client c = client(node);
         for (int i = 0; i < count; i++) {
@@ -190,9 +178,10 @@
     /** However long a drain has been going on, a new connection still has time to send a request. */
     @Test
     void newConnectionHasTimeToSendARequestLateInADrain() throws Exception {
-        Server host = closeLater(new Server((m, s) -> s.getOutputStream().write(TestEndpoints.okResponse("x"))));
+        Server host =
+                closeables.closeLater(new Server((m, s) -> s.getOutputStream().write(TestEndpoints.okResponse("x"))));
         DiscoveryServer discoveryServer =
-                closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
         ManualClock clock = new ManualClock();
         clock.frozen = true;
         Node node = new Node(
--- a/src/test/java/deckfall/net/ErrorContainmentTest.java
+++ b/src/test/java/deckfall/net/ErrorContainmentTest.java
@@ -17,19 +17,17 @@
 import deckfall.net.TestEndpoints.Client;
 import deckfall.net.TestEndpoints.DiscoveryServer;
 import deckfall.net.TestEndpoints.Server;
-import java.io.Closeable;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Tests with real connections that an Error ends what it concerns, and not the gateway for all its clients. */
 class ErrorContainmentTest {
-    private final Deque<Closeable> closeables = new ArrayDeque<>();
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
 
     /** An error of the kind that an exhausted heap causes: whatever handles it runs into it again. */
     private static final class UnreportableError extends OutOfMemoryError {
@@ -41,13 +39,6 @@
         }
     }
 
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : closeables) {
-            c.close();
-        }
-    }
-
     private Node node(Function<Actions, Events> module) throws IOException {
         Server host = new Server((m, s) -> s.getOutputStream().write(okResponse("x")));
         closeables.push(host);
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -26,7 +26,6 @@
 import deckfall.net.TestEndpoints.Server;
 import io.netty.buffer.PooledByteBufAllocator;
 import java.io.ByteArrayOutputStream;
-import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
@@ -53,9 +52,9 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -81,7 +80,9 @@
     private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final String REFUSING_ADDRESS = "127.0.0.1:1"; // below the ports that the system assigns
 
-    private final Deque<Closeable> closeables = new ArrayDeque<>();
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
+
     private DiscoveryServer discovery;
 
     @BeforeAll
@@ -100,20 +101,8 @@
         assertEquals(List.of(), LEAK_REPORTS);
     }
 
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : closeables) {
-            c.close();
-        }
-    }
-
-    private <T extends Closeable> T closeLater(T closeable) {
-        closeables.push(closeable);
-        return closeable;
-    }
-
     private Server host(TestEndpoints.RequestHandler handler) throws IOException {
-        return closeLater(new Server(handler));
+        return closeables.closeLater(new Server(handler));
     }
 
     private static void echo(Message m, java.net.Socket s) throws IOException {
@@ -121,7 +110,7 @@
     }
 
     private Node nodeWithHostEntries(String... entries) throws IOException {
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, entries)));
+        discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
         Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"));
         closeables.push(node::stop);
         return node;
@@ -132,7 +121,7 @@
     void noClientIsAcceptedBeforeTheCurrentHostList() throws Exception {
         CompletableFuture<Node> started = new CompletableFuture<>();
         CompletableFuture<Integer> portDuringDiscovery = new CompletableFuture<>();
-        Server discoveryServer = closeLater(new Server((m, s) -> {
+        Server discoveryServer = closeables.closeLater(new Server((m, s) -> {
             Node node = started.join();
             node.loop.submit(() -> {}).sync(); // what was started before the call is done
             portDuringDiscovery.complete(node.port());
@@ -188,7 +177,7 @@
     @Test
     void configurationIsReloadedWhenDiscoveryIsLost(@TempDir Path folder) throws Exception {
         DiscoveryServer old = new DiscoveryServer(hostList(1, true));
-        DiscoveryServer moved = closeLater(new DiscoveryServer(hostList(2, true)));
+        DiscoveryServer moved = closeables.closeLater(new DiscoveryServer(hostList(2, true)));
         Path file = Files.writeString(
                 folder.resolve("config.json"), TestEndpoints.config(old.server.address(), "127.0.0.1:0"));
         Node node = new Node(NodeConfig.read(file.toString()));
@@ -209,7 +198,7 @@
     }
 
     private Client client(Node node) throws IOException {
-        return closeLater(new Client(node));
+        return closeables.closeLater(new Client(node));
     }
 
     @Test
@@ -603,7 +592,8 @@
         byte[] body = pattern(4_000_000);
         List<byte[]> received = new CopyOnWriteArrayList<>();
         CountDownLatch begun = new CountDownLatch(1);
-        java.net.ServerSocket listener = closeLater(new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        java.net.ServerSocket listener =
+                closeables.closeLater(new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
         Thread raw = new Thread(() -> {
             try {
                 while (true) {
@@ -662,7 +652,8 @@
     @Test
     void connectionWithAPartialRequestIsNotShed() throws Exception {
         Server host = host(NodeTest::echo);
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+        discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
         Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("\"sockets\": 1024", "\"sockets\": 12"));
         closeables.push(node::stop);
@@ -685,7 +676,8 @@
             releaseHost.await(TestEndpoints.TIMEOUT_MS, TimeUnit.MILLISECONDS);
             echo(m, s);
         });
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+        discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
         Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("\"sockets\": 1024", "\"sockets\": 12"));
         closeables.push(node::stop);
@@ -800,7 +792,7 @@
     @Test
     void brokenWatchResumesFromItsVersion() throws Exception {
         AtomicInteger calls = new AtomicInteger();
-        Server broken = closeLater(new Server((m, s) -> {
+        Server broken = closeables.closeLater(new Server((m, s) -> {
             if (!m.startLine().contains("from=")) {
                 s.getOutputStream().write(okResponse(hostList(7, true)));
             } else if (calls.incrementAndGet() < 4) {
@@ -838,7 +830,8 @@
             int port = freePort();
             String nodeAddress = "127.0.0.1:" + port;
             Server host = host(NodeTest::echo);
-            discovery = closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+            discovery = closeables.closeLater(
+                    new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
             Node node = TestEndpoints.node(TestEndpoints.config(
                     discovery.server.address(), nodeAddress, nodeAddress, "127.0.0.1:" + peer.getLocalPort()));
             closeables.push(node::stop);
@@ -987,7 +980,7 @@
     }
 
     private Node nodeWithModule(Function<Actions, Events> module, String... entries) throws IOException {
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, entries)));
+        discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
         Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"), module);
         closeables.push(node::stop);
         return node;
@@ -1033,10 +1026,11 @@
      */
     @Test
     void counterRepliesReachTheModule() throws Exception {
-        java.net.ServerSocket counter = closeLater(new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        java.net.ServerSocket counter =
+                closeables.closeLater(new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
         java.util.concurrent.BlockingQueue<CounterResult> results = new java.util.concurrent.LinkedBlockingQueue<>();
         Actions[] moduleActions = new Actions[1];
-        discovery = closeLater(new DiscoveryServer(hostList(1, true)));
+        discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true)));
         String config = TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("\"name\"", "\"counter\": \"127.0.0.1:" + counter.getLocalPort() + "\", \"name\"")
                 .replace("\"max_units\"", "\"counter\": true, \"counter_timeout_ms\": 60000, \"max_units\"");
@@ -1051,7 +1045,7 @@
         });
         closeables.push(node::stop);
         for (String notANumber : List.of("none", "NaN", "Infinity", "1e999", "0x1p3", "7d")) {
-            java.net.Socket s = closeLater(counter.accept());
+            java.net.Socket s = closeables.closeLater(counter.accept());
             CounterResult refused;
             do { // until the node is connected, as a call that can't be written fails at once
                 node.loop
@@ -1148,7 +1142,8 @@
             }
             echo(m, s);
         });
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+        discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
         Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("\"sockets\": 1024", "\"sockets\": 20"));
         closeables.push(node::stop);
@@ -1171,7 +1166,7 @@
     /** A single failed call during startup, here the bind to an address in use, ended the process. */
     @Test
     void nodeServesOnceItsAddressBecomesFree() throws Exception {
-        discovery = closeLater(new DiscoveryServer(hostList(1, true)));
+        discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true)));
         ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         String config = TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("127.0.0.1:0\", \"disc", "127.0.0.1:" + taken.getLocalPort() + "\", \"disc");
--- a/src/test/java/deckfall/net/RaceConditionTest.java
+++ b/src/test/java/deckfall/net/RaceConditionTest.java
@@ -22,14 +22,11 @@
 import deckfall.net.TestEndpoints.Message;
 import deckfall.net.TestEndpoints.Server;
 import deckfall.net.TestEndpoints.UnreachableServer;
-import java.io.Closeable;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -41,14 +38,17 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Tests races between two events, each in the harmful order. The test controls the time of one of the two events. */
 class RaceConditionTest {
     private static final int MAX_REQUESTS_PER_HOST = 8; // further requests for one host are queued
-    private final Deque<Closeable> closeables = new ArrayDeque<>();
+
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
+
     // Requests, added after the module has acted on them
     private final BlockingQueue<Request> handledRequests = new LinkedBlockingQueue<>();
     private final BlockingQueue<AttemptResult> results = new LinkedBlockingQueue<>();
@@ -57,18 +57,6 @@
     private final ManualClock clock = new ManualClock();
     private DiscoveryServer discovery;
 
-    @AfterEach
-    void close() throws IOException {
-        for (Closeable c : closeables) {
-            c.close();
-        }
-    }
-
-    private <T extends Closeable> T closeLater(T closeable) {
-        closeables.push(closeable);
-        return closeable;
-    }
-
     private static void echo(Message m, Socket s) throws IOException {
         s.getOutputStream().write(okResponse("for " + m.header("X-Trace-Id")));
     }
@@ -87,7 +75,7 @@
     /** Starts a node whose connect timeout is as long as the deadlines of requests. */
     private Node node(Function<Actions, Events> module, UnaryOperator<String> configChange, String... entries)
             throws IOException {
-        discovery = closeLater(new DiscoveryServer(hostList(1, true, entries)));
+        discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
         String config = TestEndpoints.config(discovery.server.address(), "127.0.0.1:0")
                 .replace("\"connect_timeout_ms\": 5000", "\"connect_timeout_ms\": 60000");
         Node node = new Node(NodeConfig.of(new ObjectMapper().readTree(configChange.apply(config))), module, clock);
@@ -97,7 +85,7 @@
     }
 
     private Client client(Node node) throws IOException {
-        return closeLater(new Client(node));
+        return closeables.closeLater(new Client(node));
     }
 
     /** A module that sends each request to one host. */
@@ -133,8 +121,8 @@
     @Test
     void attemptWaitingForAConnectionMovesWhenItsHostDrains() throws Exception {
         for (String state : new String[] {"draining", "gone"}) {
-            UnreachableServer unreachable = closeLater(new UnreachableServer());
-            Server other = closeLater(new Server(RaceConditionTest::echo));
+            UnreachableServer unreachable = closeables.closeLater(new UnreachableServer());
+            Server other = closeables.closeLater(new Server(RaceConditionTest::echo));
             Node node = node(this::recordingModule, c -> c, hostEntry("h0", unreachable.address(), "ready"));
             Client c = client(node).send(orderRequest("o", "b"));
             assertEquals("o", next(handledRequests).id());
@@ -154,7 +142,7 @@
     void attemptWaitingForAReplacedOrRemovedHostEndsAsFull() throws Exception {
         String[] lists = {hostList(2, true), hostList(2, false, hostEntry("h0", "127.0.0.1:1", "ready"))};
         for (String list : lists) {
-            UnreachableServer unreachable = closeLater(new UnreachableServer());
+            UnreachableServer unreachable = closeables.closeLater(new UnreachableServer());
             Node node = node(sendingTo("h0"), c -> c, hostEntry("h0", unreachable.address(), "ready"));
             client(node).send(orderRequest("o", "b"));
             assertEquals("o", next(handledRequests).id());
@@ -170,7 +158,7 @@
     @Test
     void requestIsNotSentIfItsClientLeavesBeforeTheHostConnects() throws Exception {
         for (String cancel : new String[] {"true", "false"}) {
-            UnreachableServer unreachable = closeLater(new UnreachableServer());
+            UnreachableServer unreachable = closeables.closeLater(new UnreachableServer());
             Node node = node(
                     this::recordingModule,
                     c -> c.replace("\"cancel\": true", "\"cancel\": " + cancel),
@@ -196,7 +184,7 @@
      */
     @Test
     void attemptIsNotSentIfItsClientLeavesWhileTheHostConnects() throws Exception {
-        UnreachableServer unreachable = closeLater(new UnreachableServer());
+        UnreachableServer unreachable = closeables.closeLater(new UnreachableServer());
         Node node = node(sendingTo("h0"), c -> c, hostEntry("h0", unreachable.address(), "ready"));
         Client c = client(node).send(orderRequest("o", "b"));
         next(handledRequests);
@@ -217,7 +205,7 @@
     @Test
     void pipelinedRequestLosesTheTimeItWaited() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        Server host = closeLater(new Server((m, s) -> {
+        Server host = closeables.closeLater(new Server((m, s) -> {
             await(release);
             echo(m, s);
         }));
@@ -242,7 +230,7 @@
     void requestLosesTheTimeItWaitedForABusyEventLoop() throws Exception {
         int busyMs = 400;
         CountDownLatch loopBusy = new CountDownLatch(1);
-        Server host = closeLater(new Server(RaceConditionTest::echo));
+        Server host = closeables.closeLater(new Server(RaceConditionTest::echo));
         Node node = node(
                 act -> new ScriptedModule((now, r) -> {
                     if (r.id().equals("first")) {
@@ -267,7 +255,7 @@
     @Test
     void queuedRequestIsNotSentAfterItsClientLeaves() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
-        Server host = closeLater(new Server((m, s) -> {
+        Server host = closeables.closeLater(new Server((m, s) -> {
             release.await(TestEndpoints.TIMEOUT_MS, TimeUnit.MILLISECONDS);
             echo(m, s);
         }));
@@ -295,7 +283,7 @@
      */
     @Test
     void requestWhoseHostNeverConnectedIsRefusedAtItsDeadline() throws Exception {
-        UnreachableServer unreachable = closeLater(new UnreachableServer());
+        UnreachableServer unreachable = closeables.closeLater(new UnreachableServer());
         Node node = node(
                 this::recordingModule,
                 c -> c.replace("by_key", "once"),
@@ -311,7 +299,7 @@
     void lateDuplicateResponseReachesNoOtherRequest() throws Exception {
         clock.frozen = true;
         AtomicReference<Socket> first = new AtomicReference<>();
-        Server host = closeLater(new Server((m, s) -> {
+        Server host = closeables.closeLater(new Server((m, s) -> {
             if (first.compareAndSet(null, s)) {
                 echo(m, s);
                 return;
@@ -330,7 +318,7 @@
     void connectionIsReusedAfterTheReuseDelay() throws Exception {
         clock.frozen = true;
         Set<Socket> used = ConcurrentHashMap.newKeySet();
-        Server host = closeLater(new Server((m, s) -> {
+        Server host = closeables.closeLater(new Server((m, s) -> {
             used.add(s);
             echo(m, s);
         }));
@@ -355,7 +343,7 @@
             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
         }) {
             AtomicReference<Socket> first = new AtomicReference<>();
-            Server host = closeLater(new Server((m, s) -> {
+            Server host = closeables.closeLater(new Server((m, s) -> {
                 if (first.compareAndSet(null, s)) {
                     s.getOutputStream()
                             .write(bytes(
@@ -385,7 +373,7 @@
     @Test
     void laterRequestThatStopsAfterAWholeLineTimesOut() throws Exception {
         clock.frozen = true;
-        Server host = closeLater(new Server(RaceConditionTest::echo));
+        Server host = closeables.closeLater(new Server(RaceConditionTest::echo));
         Node node = node(this::recordingModule, c -> c, hostEntry("h0", host.address(), "ready"));
         Client c = client(node);
         assertEquals("for one", c.send(orderRequest("one", "b")).receive().text());
@@ -407,7 +395,7 @@
     @Test
     void firstRequestTimesOutFromTheConnectOn() throws Exception {
         clock.frozen = true;
-        Server host = closeLater(new Server(RaceConditionTest::echo));
+        Server host = closeables.closeLater(new Server(RaceConditionTest::echo));
         Node node = node(this::recordingModule, c -> c, hostEntry("h0", host.address(), "ready"));
         Client newClient = client(node);
         Client other = client(node);
@@ -483,7 +471,7 @@
     @Test
     void noAttemptStartsIfItsClientLeftWhileTheLoopWasBusy() throws Exception {
         CountDownLatch[] gone = {new CountDownLatch(1), new CountDownLatch(1)};
-        Server host = closeLater(new Server((m, s) -> s.close()));
+        Server host = closeables.closeLater(new Server((m, s) -> s.close()));
         Node node = node(
                 act -> new ScriptedModule(
                         (now, r) -> {
