Decoders: drop and hand over decoded objects in one place

Both decoders had the same lines for objects that are handed over and for what is dropped once their account has given up. They are part of DecoderMemory now. No change of behaviour.

--- a/src/main/java/deckfall/net/DecoderMemory.java
+++ b/src/main/java/deckfall/net/DecoderMemory.java
@@ -1,8 +1,11 @@
 package deckfall.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /**
  * Counts in a connection's account what its decoder holds: the fields of a head or trailer that is not complete, the
@@ -15,6 +18,7 @@
     private CountedHeaders incomplete; // the fields that are being received, or null
     private int lineBytes = INITIAL_LINE_BYTES;
     private int undecodedBytes;
+    private boolean discarding; // whatever arrives is dropped
 
     DecoderMemory(MemoryBudget.Account account) {
         this.account = account;
@@ -36,19 +40,34 @@
         return newHeaders();
     }
 
-    /** The decoder has handed over the fields: from now on they belong to their message. */
-    void handedOver() {
-        incomplete = null;
+    /**
+     * Takes note of a call of the decoder that put these objects out: fields that are handed over belong to their message
+     * from now on. Drops everything if {@link #discard} was called, before or during the call.
+     */
+    void decoded(ByteBuf in, List<Object> out) {
+        if (!out.isEmpty()) {
+            incomplete = null;
+        }
+        if (discarding) {
+            out.forEach(ReferenceCountUtil::release);
+            out.clear();
+            in.skipBytes(in.readableBytes());
+        }
     }
 
-    /** Drops the fields of an incomplete head or trailer. */
-    void dropIncomplete() {
+    /** Drops the fields of an incomplete head or trailer, and whatever is decoded from now on. */
+    void discard() {
+        discarding = true;
         if (incomplete != null) {
             incomplete.clear();
             incomplete = null;
         }
     }
 
+    boolean discarding() {
+        return discarding;
+    }
+
     /** Sets the size of the buffer that holds undecoded bytes, 0 if there is none. */
     void undecoded(int capacity) {
         int change = capacity - undecodedBytes;
@@ -61,7 +80,7 @@
         return undecodedBytes;
     }
 
-    /** Notes the line buffer, as it is while a line is parsed. */
+    /** Counts the growth of the line buffer. Called with it while a line is parsed. */
     void line(byte[] buffer) {
         int growth = buffer.length - lineBytes;
         if (growth > 0) {
--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.AsciiString;
-import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -36,7 +35,6 @@
     private final ReceiveTimes receiveTimes = new ReceiveTimes();
     private ChannelHandlerContext context;
     private boolean reading; // inside a call of channelRead
-    private boolean discarding; // whatever arrives is dropped
 
     StrictRequestDecoder(Receiver receiver, MemoryBudget.Account account) {
         this(receiver, new DecoderMemory(account));
@@ -79,29 +77,21 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (!discarding && !receiver.takesNext(messageProgress.insideMessage())) {
-            return;
-        }
-        if (!discarding) {
+        if (!memory.discarding()) {
+            if (!receiver.takesNext(messageProgress.insideMessage())) {
+                return;
+            }
             int startIndex = in.readerIndex();
             int sizeBefore = out.size();
             super.decode(ctx, in, out);
             messageProgress.decoded(in, startIndex, out, sizeBefore);
-            if (out.size() > sizeBefore) {
-                memory.handedOver();
-            }
-        }
-        if (discarding) { // perhaps only since the call
-            out.forEach(ReferenceCountUtil::release);
-            out.clear();
-            in.skipBytes(in.readableBytes());
         }
+        memory.decoded(in, out);
     }
 
     /** Drops what is held of further requests, and all that still arrives. */
     void discard() {
-        discarding = true;
-        memory.dropIncomplete();
+        memory.discard();
         if (reading || undecodedBytes() == 0) { // a call that is reading drops what it has
             return;
         }
@@ -153,6 +143,6 @@
 
     /** Whether bytes have been received that do not form a complete message yet, or that were not decoded yet. */
     boolean hasPartialMessage() {
-        return undecodedBytes() > 0 || !discarding && messageProgress.insideMessage();
+        return undecodedBytes() > 0 || !memory.discarding() && messageProgress.insideMessage();
     }
 }
--- a/src/main/java/deckfall/net/StrictResponseDecoder.java
+++ b/src/main/java/deckfall/net/StrictResponseDecoder.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
-import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -16,7 +15,6 @@
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private final DecoderMemory memory;
     private final MessageProgress messageProgress = new MessageProgress();
-    private boolean discarding; // whatever arrives is dropped
 
     StrictResponseDecoder(MemoryBudget.Account account) {
         this(new DecoderMemory(account));
@@ -35,26 +33,18 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (!discarding) {
+        if (!memory.discarding()) {
             int startIndex = in.readerIndex();
             int sizeBefore = out.size();
             super.decode(ctx, in, out);
             messageProgress.decoded(in, startIndex, out, sizeBefore);
-            if (out.size() > sizeBefore) {
-                memory.handedOver();
-            }
-        }
-        if (discarding) { // perhaps only since the call
-            out.forEach(ReferenceCountUtil::release);
-            out.clear();
-            in.skipBytes(in.readableBytes());
         }
+        memory.decoded(in, out);
     }
 
     /** Drops what is held of a response head or trailer, and all that still arrives. */
     void discard() {
-        discarding = true;
-        memory.dropIncomplete();
+        memory.discard();
     }
 
     @Override
