Refuse a host's body beyond the memory limit where it can't be streamed

Found by reading again. Up to 64 KiB of a host's body were buffered on each connection; at the limit a body was streamed instead, but one that can't be streamed (not a 200, or nobody waits) was buffered on, on a number of connections that only the descriptors bound. It is now refused as too long where the budget refuses a request of its size; small ones have room.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -651,7 +651,7 @@
             if (head != null && completeResponse == null) {
                 head.clear();
             }
-            node.loop.execute(this::endAfterGivingUp);
+            node.loop.execute(ErrorReport.contain("host connection not ended", this::endAfterGivingUp));
         }
 
         private void endAfterGivingUp() {
@@ -683,9 +683,9 @@
 
         private void handleContent(HttpContent content) {
             int bytes = content.content().readableBytes();
-            boolean tooLong = bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES;
-            boolean stream = transfer == null && (tooLong || bytes > 0 && node.memoryBudget.exhausted());
-            if (stream && !startTransfer() && tooLong) {
+            int size = bufferedBody.readableBytes() + bytes;
+            boolean tooLong = size > MAX_BUFFERED_BYTES || bytes > 0 && node.memoryBudget.refuses(size);
+            if (transfer == null && tooLong && !startTransfer()) {
                 rejectResponse("response too long to be buffered");
                 return;
             }
--- a/src/main/java/deckfall/net/MemoryBudget.java
+++ b/src/main/java/deckfall/net/MemoryBudget.java
@@ -22,8 +22,9 @@
     /** A connection whose account can be made to give up what it holds. */
     interface Holder {
         /**
-         * Drops what the account counts, at once, and later ends the connection. Must not reserve memory, and must not
-         * run code of another connection before it returns. The account is closed then.
+         * Drops what the account counts, at once or, if it waits to be sent, in a task of the event loop, and ends the
+         * connection in a task. Must not reserve memory, and must not run code of another connection before it returns.
+         * The account is closed then.
          */
         void giveUp();
     }
@@ -56,12 +57,7 @@
         return usedBytes > limitBytes / 2;
     }
 
-    /** Whether the limit is exceeded. */
-    boolean exhausted() {
-        return usedBytes > limitBytes;
-    }
-
-    /** Whether a new request must be refused that would hold this much memory. Small ones have room beyond the limit. */
+    /** Whether a request or response must be refused that would hold this much. Small ones have room beyond the limit. */
     boolean refuses(long bytes) {
         long roomForSmall = bytes <= smallAccountBytes ? limitBytes / SMALL_ACCOUNTS_DIVISOR : 0;
         return usedBytes > limitBytes + roomForSmall;
@@ -92,7 +88,10 @@
         }
     }
 
-    /** What one connection holds for messages that were not admitted, and for responses that its client does not take. */
+    /**
+     * What one connection holds for messages that were not admitted, or for responses that its client does not take. A
+     * client connection has an account for each of the two.
+     */
     final class Account {
         private static final int NOT_LISTED = -1;
 
--- a/src/test/java/deckfall/net/HeldMemoryTest.java
+++ b/src/test/java/deckfall/net/HeldMemoryTest.java
@@ -351,6 +351,22 @@
         assertEquals(body.length(), first.receive().body().length);
     }
 
+    /** Guards against bodies of hosts that can't be streamed, as no client gets them, and that nothing bounded. */
+    @Test
+    void unfinishedBodiesOfHostsAreBounded() throws Exception {
+        String part = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(59_000);
+        startNode((m, s) -> s.getOutputStream().write(bytes(part)), HeldMemoryTest::forwardingModule);
+        for (int i = 0; i < PEERS; i++) {
+            client().send(viewRequest("v" + i, TIMEOUT_MS));
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        long limit = node.memoryBudget.limitBytes();
+        while (metric("error_total{type=\"view\"}") == 0) {
+            assertTrue(System.nanoTime() < end, "no response was rejected");
+            assertTrue(heldBytes() <= limit + limit / 4, heldBytes() + " bytes held");
+        }
+    }
+
     /** Guards against a loop that counts a response again and again which its client has taken late. */
     @Test
     void responseThatWasTakenLateIsNoLongerCounted() throws Exception {
