Log and count attempts that are ended in mid-response or before their body was sent

Each attempt that this side ends now has a reason (AbandonReason); where a part of a response had come, or a streamed body was not sent in full, the log names request, host, reason, bytes and age of the head (RESPONSE_ABANDONED, BODY_UNSENT), and the metrics count both by reason, and the time for which bodies were not read. No change of behaviour.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -21,6 +21,10 @@
         this.sentAtMs = sentAtMs;
     }
 
+    String traceId() {
+        return openRequest.traceId;
+    }
+
     @Override
     void onEnd(Outcome outcome, FullHttpResponse response) {
         node.attemptEnded(this, outcome, response);
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -81,6 +81,7 @@
     private boolean discarding; // the rest of an unwanted body is being read
     private boolean gaveUp; // the account has given up: the connection is closed with its last response
     private double partialHeadSinceMs; // since when a head is awaited or incomplete, 0 if neither
+    private double readPausedAtMs; // when reading was last paused
     private double lastUsedMs;
     private double messageReceivedMs; // of the message being processed; the client's time runs from there
 
@@ -373,6 +374,7 @@
                 ? incoming.acceptsMore()
                 : queuedBytes + decoder.undecodedBytes() < MAX_READ_AHEAD_BYTES;
         if (channel.config().isAutoRead() != autoRead) {
+            recordReadPause(autoRead);
             channel.config().setAutoRead(autoRead);
         }
         boolean mayHideClose = !autoRead && !closing && !(incoming != null && incoming.streamed());
@@ -385,6 +387,15 @@
         }
     }
 
+    private void recordReadPause(boolean ends) {
+        double now = node.clock.now();
+        if (!ends) {
+            readPausedAtMs = now;
+        } else if (incoming != null) {
+            node.metrics.recordReadPause(now - readPausedAtMs);
+        }
+    }
+
     /**
      * Ends a read pause that took too long. A close by the client can't be noticed behind unread data, and nothing may
      * be sent to a host for a client that has left.
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -132,6 +132,16 @@
             return true;
         }
 
+        /** Whether the last byte of the request was sent. */
+        final boolean requestWritten() {
+            return connection != null && connection.requestWritten;
+        }
+
+        /** How much of the response has been received, for the log; null if nothing has. */
+        final String responseProgress() {
+            return connection == null ? null : connection.responseProgress();
+        }
+
         /** Called just before the first byte is written. */
         void beforeWrite() {}
 
@@ -478,6 +488,7 @@
         private double idleSinceMs;
         private double idleBeforeRequestMs; // how long the connection was idle before the current request
         private double writeStartedAtMs;
+        private double headReceivedAtMs; // of the response that is being received
 
         Connection(Pool pool) {
             this.pool = pool;
@@ -542,6 +553,16 @@
             }
         }
 
+        private String responseProgress() {
+            if (responseHead == null) {
+                return null;
+            }
+            return bufferedBody.readableBytes() + " of "
+                    + responseHead.headers().get(HttpHeaderNames.CONTENT_LENGTH, "unknown")
+                    + " body bytes received, head "
+                    + (long) (node.clock.now() - headReceivedAtMs) + " ms ago";
+        }
+
         private String traceId() {
             return exchange instanceof Attempt a ? a.openRequest.traceId : "none";
         }
@@ -621,6 +642,7 @@
                             + response.headers().names());
                     return;
                 }
+                headReceivedAtMs = node.clock.now();
                 boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 responseHead = interim ? null : response;
                 if (interim) {
--- a/src/main/java/deckfall/net/IncomingRequest.java
+++ b/src/main/java/deckfall/net/IncomingRequest.java
@@ -78,6 +78,12 @@
         return complete ? 0 : (declaredBytes >= 0 ? declaredBytes : MAX_BODY_BYTES) - receivedBytes;
     }
 
+    /** How much of the body has arrived, for the log. */
+    String progress() {
+        return receivedBytes + " of " + (declaredBytes < 0 ? "chunked" : Long.toString(declaredBytes))
+                + " body bytes received, " + (complete ? "complete" : "incomplete");
+    }
+
     boolean complete() {
         return complete;
     }
--- a/src/main/java/deckfall/net/Metrics.java
+++ b/src/main/java/deckfall/net/Metrics.java
@@ -35,6 +35,9 @@
     private volatile int targets;
     private volatile int targetsDisabled;
     private final Map<MemoryUse, LongAdder> memoryRejections = new EnumMap<>(MemoryUse.class);
+    private final Map<AbandonReason, LongAdder> abandonedResponses = new EnumMap<>(AbandonReason.class);
+    private final Map<AbandonReason, LongAdder> unsentBodies = new EnumMap<>(AbandonReason.class);
+    private final LongAdder readPausedMs = new LongAdder();
     private volatile long memoryHeldBytes;
     private volatile long memoryLimitBytes;
 
@@ -49,6 +52,10 @@
         for (MemoryUse use : MemoryUse.values()) {
             memoryRejections.put(use, new LongAdder());
         }
+        for (AbandonReason reason : AbandonReason.values()) {
+            abandonedResponses.put(reason, new LongAdder());
+            unsentBodies.put(reason, new LongAdder());
+        }
     }
 
     void recordResult(String requestClass, Result result) {
@@ -60,6 +67,21 @@
         memoryRejections.get(use).increment();
     }
 
+    /** Counts an attempt that this side ended in the middle of its response. */
+    void recordAbandonedResponse(AbandonReason reason) {
+        abandonedResponses.get(reason).increment();
+    }
+
+    /** Counts an attempt that this side ended before its host had taken the whole body. */
+    void recordUnsentBody(AbandonReason reason) {
+        unsentBodies.get(reason).increment();
+    }
+
+    /** Counts time for which a client's request was not read, as its host did not take what had been read. */
+    void recordReadPause(double pausedMs) {
+        readPausedMs.add((long) pausedMs);
+    }
+
     /** Counts an attempt whose last byte has been sent to its host. */
     void recordDispatch() {
         dispatches.increment();
@@ -109,6 +131,11 @@
         appendLine(text, "concurrent", openRequests());
         appendLine(text, "targets", targets);
         appendLine(text, "targets_disabled", targetsDisabled);
+        abandonedResponses.forEach((reason, count) ->
+                appendLine(text, "responses_abandoned_total{type=\"" + reason.metricName() + "\"}", count.sum()));
+        unsentBodies.forEach((reason, count) ->
+                appendLine(text, "bodies_unsent_total{type=\"" + reason.metricName() + "\"}", count.sum()));
+        appendLine(text, "body_read_paused_ms_total", readPausedMs.sum());
         memoryRejections.forEach((use, count) ->
                 appendLine(text, "memory_rejected_total{type=\"" + use.metricName() + "\"}", count.sum()));
         appendLine(text, "memory_held_bytes", memoryHeldBytes);
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -605,24 +605,42 @@
      * so that each request gets exactly one response.
      */
     private void deadlineReached(OpenRequest openRequest) {
-        timeOutAttempts(openRequest);
+        abandonAttempts(openRequest, AbandonReason.DEADLINE);
         if (!openRequest.closed()) {
             log("defect: no response from the decision module by the deadline, request failed");
             respond(openRequest, HttpResponseStatus.GATEWAY_TIMEOUT, 0);
         }
     }
 
-    private void timeOutAttempts(OpenRequest openRequest) {
+    private void abandonAttempts(OpenRequest openRequest, AbandonReason reason) {
         for (Attempt attempt : List.copyOf(openRequest.attempts)) {
-            abandonAttempt(attempt, Outcome.TIMEOUT);
+            abandonAttempt(attempt, reason);
         }
     }
 
     /** Ends an attempt. If it was still waiting for a connection, it never ran and ends as {@code CONNECT_FAILED}. */
-    private void abandonAttempt(Attempt attempt, Outcome outcomeIfStarted) {
+    private void abandonAttempt(Attempt attempt, AbandonReason reason) {
         if (!attempt.ended) {
+            recordProgress(attempt, reason);
             attempt.abandon();
-            attemptEnded(attempt, attempt.started() ? outcomeIfStarted : Outcome.CONNECT_FAILED, null);
+            attemptEnded(attempt, attempt.started() ? reason.outcome() : Outcome.CONNECT_FAILED, null);
+        }
+    }
+
+    /** Records how far an attempt that is abandoned had come, if a part of a message would be lost with it. */
+    private void recordProgress(Attempt attempt, AbandonReason reason) {
+        String response = attempt.responseProgress();
+        if (response != null) {
+            metrics.recordAbandonedResponse(reason);
+            tally.note(Tally.Count.RESPONSE_ABANDONED, attempt.traceId(), attempt.host, reason + ", " + response);
+        }
+        if (attempt.started() && attempt.openRequest.message.streamed() && !attempt.requestWritten()) {
+            metrics.recordUnsentBody(reason);
+            tally.note(
+                    Tally.Count.BODY_UNSENT,
+                    attempt.traceId(),
+                    attempt.host,
+                    reason + ", " + attempt.openRequest.message.progress());
         }
     }
 
@@ -784,7 +802,10 @@
             return;
         }
         if (timeoutMs > 0) {
-            loop.schedule(() -> abandonAttempt(attempt, Outcome.TIMEOUT), toMicros(timeoutMs), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> abandonAttempt(attempt, AbandonReason.ATTEMPT_TIMEOUT),
+                    toMicros(timeoutMs),
+                    TimeUnit.MICROSECONDS);
         }
         hostClient.send(attempt);
     }
@@ -823,7 +844,7 @@
     public void cancel(String id, int attempt) {
         OpenRequest openRequest = openRequests.get(id);
         if (openRequest != null && attempt >= 0 && attempt < openRequest.attempts.size()) {
-            abandonAttempt(openRequest.attempts.get(attempt), Outcome.CANCELLED);
+            abandonAttempt(openRequest.attempts.get(attempt), AbandonReason.CANCELLED);
         }
     }
 
@@ -920,7 +941,8 @@
     void endOpenRequests() {
         drainExpired = true;
         for (OpenRequest openRequest : List.copyOf(openRequests.values())) {
-            timeOutAttempts(openRequest); // the module refuses or fails it, as further attempts are not allowed
+            // The module refuses or fails it, as further attempts are not allowed
+            abandonAttempts(openRequest, AbandonReason.DRAIN_END);
         }
         for (OpenRequest openRequest : List.copyOf(openRequests.values())) {
             // Still queued. A request that was never sent is refused, as a retry by the client does no harm.
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -22,6 +22,10 @@
         FAILED,
         CLIENT_LEFT,
         CUT_OFF,
+        /** Attempts that this side ended in the middle of their response. */
+        RESPONSE_ABANDONED,
+        /** Attempts that this side ended before their host had taken the whole body. */
+        BODY_UNSENT,
         UNREADABLE,
         SURPLUS,
         CLOSED_EARLY,
