--- a/src/main/java/deckfall/soak/SoakCommand.java
+++ b/src/main/java/deckfall/soak/SoakCommand.java
@@ -122,7 +122,8 @@
         return result;
     }
 
-    private static List<String> command() {
+    /** The command line of a gateway process, with the options of the deploy file. */
+    static List<String> command() {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM_OPTIONS);
--- a/src/main/resources/deckfall/soak/faults.c
+++ b/src/main/resources/deckfall/soak/faults.c
@@ -4,6 +4,9 @@
  *
  *     CALL,ERRNO,WINDOW_MS,PERIOD_MS,PHASE_MS[,SCOPE]  the call fails during the first WINDOW_MS of each period
  *     clock,STEP_MS,AT_MS                              steps the wall clock once, AT_MS after the start of the process
+ *     buffers,BYTES                                    bounds the send and receive buffer of each connection, and its
+ *                                                      segments to those of an Ethernet: on loopback the system
+ *                                                      would otherwise take megabytes that the peer does not read
  *
  * CALL is accept, socket, connect, read, write, wait, disk or config. ERRNO is the name of an error, or SHORT for
  * partial transfers. SCOPE is client or server, the side of the connection; without it, both sides are affected. Faults
@@ -15,6 +18,8 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,6 +36,7 @@
 /* Kinds of descriptors; as the scope of a fault, OTHER means any descriptor. */
 enum { OTHER, CLIENT, SERVER, TEMP_FILE };
 enum { MAX_FAULTS = 32, MAX_FDS = 65536, SHORT = -1 /* not an errno */, SHORT_READ_BYTES = 7 };
+enum { ETHERNET_SEGMENT_BYTES = 1460 };
 
 static const char *const CALL_NAMES[] = {"accept", "socket", "connect", "read", "write", "wait", "disk", "config"};
 static const struct { const char *name; int value; } ERRORS[] = {
@@ -44,6 +50,7 @@
 static int fault_count;
 static struct { long step_ms, at_ms; } clock_steps[MAX_FAULTS];
 static int clock_step_count;
+static int buffer_bytes; /* of each connection, 0 if the system chooses */
 static unsigned char fd_kinds[MAX_FDS];
 static long start_ms;
 static const char *temp_folder, *config_path;
@@ -81,6 +88,9 @@
     char call[32], error[32], scope[32] = "";
     long step_ms, at_ms;
     struct fault fault;
+    if (sscanf(text, "buffers,%d", &buffer_bytes) == 1) {
+        return;
+    }
     if (sscanf(text, "clock,%ld,%ld", &step_ms, &at_ms) == 2 && clock_step_count < MAX_FAULTS) {
         clock_steps[clock_step_count].step_ms = step_ms;
         clock_steps[clock_step_count++].at_ms = at_ms;
@@ -106,6 +116,15 @@
     free(copy);
 }
 
+static void bound_buffers(int fd) {
+    int segment_bytes = ETHERNET_SEGMENT_BYTES;
+    if (fd >= 0 && buffer_bytes > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
+    }
+}
+
 static unsigned char fd_kind(int fd) {
     return fd >= 0 && fd < MAX_FDS ? fd_kinds[fd] : OTHER;
 }
@@ -143,6 +162,7 @@
     FAIL_IF(ACCEPT, CLIENT);
     int accepted = real(fd, address, length);
     set_kind(accepted, CLIENT);
+    bound_buffers(accepted);
     return accepted;
 }
 
@@ -151,6 +171,7 @@
     FAIL_IF(ACCEPT, CLIENT);
     int accepted = real(fd, address, length, flags);
     set_kind(accepted, CLIENT);
+    bound_buffers(accepted);
     return accepted;
 }
 
@@ -164,6 +185,7 @@
     REAL(int, "connect", int, const struct sockaddr *, socklen_t)
     FAIL_IF(CONNECT, SERVER);
     set_kind(fd, SERVER);
+    bound_buffers(fd);
     return real(fd, address, length);
 }
 
