Split HostClient: exchange, pool, connection and response reader as files of their own

Connections to hosts (HostConnection, HostPool), one request to a host (Exchange) and what a response says (ResponseReader) now have files of their own. No change of behaviour; NodeTest, RaceConditionTest, HeldMemoryTest and DispatchRuleTest pass.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /** One attempt to get an open request served by one host. */
-final class Attempt extends HostClient.Exchange {
+final class Attempt extends Exchange {
     final OpenRequest openRequest;
     final int number;
     final String host;
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -697,8 +697,9 @@
         openRequest.attemptsInFlight--;
         boolean closed = openRequest.closed();
         double latencyMs = clock.now() - attempt.sentAtMs;
-        double[] loadMetrics = response == null ? NO_LOAD_METRICS : hostClient.loadMetrics(response);
-        int meterReading = response == null ? 0 : hostClient.meterReading(response);
+        double[] loadMetrics =
+                response == null ? NO_LOAD_METRICS : hostClient.responseReader().loadMetrics(response);
+        int meterReading = response == null ? 0 : hostClient.responseReader().meterReading(response);
         deliver((now, m) -> m.attemptEnded(
                 now,
                 new AttemptResult(
