Hold bodies in counted blocks until their host takes them

Clients could make a gateway hold memory that nobody counted: a body that was streamed, or sent from a buffer, was handed to its host's connection in one piece of up to 1 MB, was no longer counted then, and was copied to direct memory, of which there are 16 MB. 20 clients of a host that reads nothing were enough for that.

Class: memory that is held and not counted. A body is now held in blocks of at most 16 KiB (BodyBuffer), which stay counted until the host's connection has room for them; a complete body is sent block by block as well (KeptBodySender).

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -191,11 +191,11 @@
         start(attempt.host, attempt, () -> requestFor(attempt));
     }
 
-    /** The complete message if its body has been received, else only its head. */
+    /** The complete message if its body has been received and is short, else only its head. */
     private HttpRequest requestFor(Attempt attempt) {
         IncomingRequest message = attempt.openRequest.message;
         HttpRequest original = message.head;
-        HttpRequest request = message.complete()
+        HttpRequest request = message.complete() && message.receivedBytes() <= BodyBuffer.MAX_BLOCK_BYTES
                 ? new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, original.method(), message.uri, message.retainedBody())
                 : new DefaultHttpRequest(HttpVersion.HTTP_1_1, original.method(), message.uri);
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -36,6 +36,7 @@
     SocketChannel channel;
     Exchange exchange;
     private IncomingRequest streamedBody; // the message whose body is being streamed
+    private KeptBodySender keptBody; // sends a complete body
     private HttpResponse responseHead; // of the response that is being received
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER; // the part of the response body that is buffered
     private int bufferedCapacity; // of that buffer, as counted in the memory budget
@@ -65,9 +66,15 @@
         writeStartedAtMs = node.clock.now();
         if (message instanceof FullHttpRequest) {
             channel.writeAndFlush(message).addListener(f -> onRequestWritten(next, f.isSuccess()));
+            return;
+        }
+        channel.writeAndFlush(message, channel.voidPromise());
+        IncomingRequest body = next.requestBody();
+        if (body.complete() && !body.streamed()) {
+            keptBody = new KeptBodySender(body.body(), this);
+            keptBody.send();
         } else {
-            channel.write(message, channel.voidPromise());
-            streamedBody = next.requestBody();
+            streamedBody = body;
             streamedBody.streamTo(this);
         }
     }
@@ -111,7 +118,10 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (streamedBody != null) {
-            streamedBody.fireAcceptsMore();
+            streamedBody.send();
+        }
+        if (keptBody != null) {
+            keptBody.send();
         }
     }
 
@@ -162,6 +172,7 @@
     private void stopStreaming() {
         IncomingRequest stopped = streamedBody;
         streamedBody = null;
+        keptBody = null;
         if (stopped != null) {
             stopped.detach(this);
         }
--- a/src/main/java/deckfall/net/IncomingRequest.java
+++ b/src/main/java/deckfall/net/IncomingRequest.java
@@ -1,8 +1,6 @@
 package deckfall.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.PooledByteBufAllocator;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -17,7 +15,8 @@
     static final int MAX_BODY_BYTES = 32 << 20;
     static final int MAX_SMALL_BODY_BYTES = 64 * 1024; // kept in full even when memory is short
     static final int MAX_KEPT_BODY_BYTES = 256 * 1024; // kept in full while there is enough memory
-    // Before the body is streamed it is read up to this size, as a close by the client is only noticed behind it
+    // Read up to this size although it can't be sent on yet, as the end of the body, from which the client's time
+    // counts, and a close by the client are only noticed once they are read
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
     private static final int UNKNOWN_LENGTH = -1;
 
@@ -39,14 +38,15 @@
     private final MemoryBudget.Account account;
     private final CountedHeaders countedHeaders; // null if the message could not be read
     private long heldBytes; // of the head and the buffer
-    private int bufferBytes; // of the buffer, as counted
+    private int countedCapacity; // of the buffer
     private boolean admitted;
-    private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
+    private final BodyBuffer buffered = new BodyBuffer();
     private BodyReceiver receiver;
     private Runnable acceptsMoreListener = () -> {};
     private long receivedBytes;
     private boolean complete;
     private boolean streamed; // at least partly forwarded to a receiver
+    private boolean finishSent; // the receiver knows that the body is complete
     private boolean released;
     private boolean dropped;
 
@@ -94,41 +94,28 @@
 
     /** The whole body, to be sent in a message of its own; the caller must release it. */
     ByteBuf retainedBody() {
-        return buffered.retainedDuplicate();
+        return buffered.retainedContent();
+    }
+
+    /** The whole body, or the part of it that waits to be sent. */
+    BodyBuffer body() {
+        return buffered;
     }
 
     void add(ByteBuf content) {
         int bytes = content.readableBytes();
         receivedBytes += bytes;
-        if (receiver != null) {
-            receiver.writeBody(content.retain());
-        } else if (!streamed && !released && bytes > 0) {
-            buffer(content, bytes);
-        }
-    }
-
-    private void buffer(ByteBuf content, int bytes) {
-        int size = buffered.readableBytes() + bytes;
-        if (size > buffered.capacity() && !countBuffer(newCapacity(size))) {
-            return; // dropped, as its account has given up
-        }
-        if (buffered == Unpooled.EMPTY_BUFFER) {
-            buffered = PooledByteBufAllocator.DEFAULT.heapBuffer(bytes);
+        boolean kept = !released && (receiver != null || !streamed);
+        if (kept && bytes > 0 && countBuffer(buffered.capacityWith(bytes))) {
+            buffered.append(content);
+            countBuffer(buffered.capacity()); // which may be less than was reserved
+            send();
         }
-        buffered.writeBytes(content);
-        countBuffer(buffered.capacity()); // a pooled buffer may have grown by less
-    }
-
-    /** The largest capacity that the buffer gets for this many bytes. */
-    private int newCapacity(int size) {
-        return buffered == Unpooled.EMPTY_BUFFER
-                ? size
-                : buffered.alloc().calculateNewCapacity(size, Integer.MAX_VALUE);
     }
 
     /** Counts the buffer with this capacity. Returns false if it must not be held, as the account has given up. */
     private boolean countBuffer(int capacity) {
-        int change = capacity - bufferBytes;
+        int change = capacity - countedCapacity;
         if (change > 0 && !admitted && !account.reserve(change)) {
             return false;
         }
@@ -140,7 +127,7 @@
         } else {
             heldBytes += change;
         }
-        bufferBytes = capacity;
+        countedCapacity = capacity;
         return true;
     }
 
@@ -183,25 +170,24 @@
 
     void markComplete() {
         complete = true;
-        if (receiver != null) {
-            receiver.finishBody();
-        }
+        send();
     }
 
     /** Whether more of the body is buffered than is kept while it is still arriving. */
     boolean exceedsKeptSize() {
-        int bytes = buffered.readableBytes();
+        int bytes = buffered.size();
         return bytes >= MAX_KEPT_BODY_BYTES || bytes >= MAX_SMALL_BODY_BYTES && memoryBudget.nearlyExhausted();
     }
 
     /** Whether more of the body can be read from the client now. */
     boolean acceptsMore() {
-        return receiver != null
-                ? receiver.writable()
-                : streamed
-                        || released
-                        || !exceedsKeptSize()
-                        || buffered.readableBytes() < MAX_BUFFERED_BYTES && !memoryBudget.nearlyExhausted();
+        if (released || streamed && receiver == null) { // the rest is dropped
+            return true;
+        }
+        if (memoryBudget.nearlyExhausted()) {
+            return receiver == null ? buffered.size() < MAX_SMALL_BODY_BYTES : buffered.size() == 0;
+        }
+        return buffered.size() < MAX_BUFFERED_BYTES;
     }
 
     /** Sets the listener that is called when more can be read after it could not. */
@@ -209,33 +195,37 @@
         acceptsMoreListener = listener;
     }
 
-    void fireAcceptsMore() {
-        acceptsMoreListener.run();
-    }
-
     /** Streams the body to the receiver from now on, starting with what is buffered. */
     void streamTo(BodyReceiver bodyReceiver) {
         streamed = true;
         receiver = bodyReceiver;
-        countBuffer(0);
-        ByteBuf first = buffered;
-        buffered = Unpooled.EMPTY_BUFFER;
-        if (first.isReadable()) {
-            bodyReceiver.writeBody(first);
-        } else {
-            first.release();
+        send();
+    }
+
+    /** Sends on what is buffered, as far as the receiver takes it now, and reads on if there is room again. */
+    void send() {
+        if (receiver == null || finishSent) {
+            return;
         }
-        if (complete) {
-            bodyReceiver.finishBody();
+        while (buffered.size() > 0 && receiver.writable()) {
+            ByteBuf block = buffered.takeBlock();
+            countBuffer(buffered.capacity());
+            receiver.writeBody(block);
         }
-        fireAcceptsMore();
+        if (complete && buffered.size() == 0) {
+            finishSent = true;
+            receiver.finishBody();
+        }
+        acceptsMoreListener.run();
     }
 
     /** Detaches the receiver; the rest of the body is dropped. */
     void detach(BodyReceiver bodyReceiver) {
         if (receiver == bodyReceiver) {
             receiver = null;
-            fireAcceptsMore();
+            buffered.clear();
+            countBuffer(0);
+            acceptsMoreListener.run();
         }
     }
 
@@ -243,9 +233,8 @@
         if (!released) {
             released = true;
             release(heldBytes);
-            bufferBytes = 0;
-            buffered.release();
-            buffered = Unpooled.EMPTY_BUFFER;
+            countedCapacity = 0;
+            buffered.clear();
         }
     }
 }
--- /dev/null
+++ b/src/test/java/deckfall/net/SlowRequestTest.java
@@ -0,0 +1,143 @@
+package deckfall.net;
+
+import static deckfall.net.TestEndpoints.TIMEOUT_MS;
+import static deckfall.net.TestEndpoints.hostEntry;
+import static deckfall.net.TestEndpoints.hostList;
+import static deckfall.net.TestEndpoints.okResponse;
+import static deckfall.net.TestEndpoints.orderRequest;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import deckfall.DecisionModule;
+import deckfall.net.TestEndpoints.Client;
+import deckfall.net.TestEndpoints.DiscoveryServer;
+import deckfall.net.TestEndpoints.Message;
+import deckfall.net.TestEndpoints.Server;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
+
+/** Tests large requests whose client writes them slowly, or whose host reads them slowly or not at all. */
+@Timeout(2 * TIMEOUT_MS / 1000)
+class SlowRequestTest {
+    private static final int KEPT_BYTES = 200_000; // kept until it has been received
+
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
+
+    private Node node(String... addresses) throws IOException {
+        String[] entries = new String[addresses.length];
+        for (int i = 0; i < addresses.length; i++) {
+            entries[i] = hostEntry("h" + i, addresses[i], "ready");
+        }
+        DiscoveryServer discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
+        Node node = TestEndpoints.node(
+                TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"), DecisionModule::new);
+        closeables.push(node::stop);
+        return node;
+    }
+
+    private Client client(Node node) throws IOException {
+        return closeables.closeLater(new Client(node));
+    }
+
+    /** A host that accepts connections and reads nothing. */
+    private String stuckHost() throws IOException {
+        ServerSocket listener = closeables.closeLater(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private static String head(String length, int waitMs) {
+        return orderRequest("o", "")
+                .replace("Content-Length: 0", length)
+                .replace("X-Expires-In-Ms: " + TIMEOUT_MS, "X-Expires-In-Ms: " + waitMs);
+    }
+
+    private static byte[] pattern(int length) {
+        byte[] bytes = new byte[length];
+        for (int i = 0; i < length; i++) {
+            bytes[i] = (byte) (i * 31 + i / 1000);
+        }
+        return bytes;
+    }
+
+    /** A body that was received completely can be sent again after its host broke the connection in the middle of it. */
+    @Test
+    void keptBodyIsSentToAnotherHostInFull() throws Exception {
+        ServerSocket breaking = closeables.closeLater(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        CountDownLatch broken = new CountDownLatch(1);
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket s = breaking.accept();
+                    s.getInputStream().readNBytes(1000);
+                    s.setSoLinger(true, 0);
+                    s.close();
+                    broken.countDown();
+                }
+            } catch (IOException e) {
+                // closed
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        Server host = closeables.closeLater(new Server(
+                (m, s) -> s.getOutputStream().write(okResponse(Integer.toString(m.body().length)))));
+        Node node = node("127.0.0.1:" + breaking.getLocalPort(), host.address());
+        byte[] body = pattern(KEPT_BYTES);
+        List<Integer> statuses = new ArrayList<>();
+        for (int i = 0; i < 20 && (broken.getCount() > 0 || !statuses.contains(200)); i++) {
+            Client c = client(node).send(head("Content-Length: " + KEPT_BYTES, TIMEOUT_MS));
+            c.socket.getOutputStream().write(body);
+            statuses.add(c.receive().status());
+        }
+        assertEquals(0, broken.getCount());
+        assertTrue(statuses.contains(200), statuses.toString());
+        for (Message m : host.requests) {
+            assertArrayEquals(body, m.body());
+        }
+    }
+
+    /** Guards against bodies that wait to be sent and that nothing counts or bounds. */
+    @Test
+    void bodiesThatHostsDoNotTakeAreCounted() throws Exception {
+        Node node = node(stuckHost());
+        List<Client> clients = new ArrayList<>();
+        byte[] body = pattern(12_000_000); // more than the buffers of the system hold
+        for (int i = 0; i < 4; i++) {
+            Client c = client(node)
+                    .send(head("Content-Length: 30000000", TIMEOUT_MS).replace(": o\r", ": o" + i + "\r"));
+            clients.add(c);
+            Thread writer = new Thread(() -> {
+                try {
+                    c.socket.getOutputStream().write(body);
+                } catch (IOException e) {
+                    // closed at the end of the test
+                }
+            });
+            writer.setDaemon(true);
+            writer.start();
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (node.loop.submit(node.memoryBudget::usedBytes).get() < 2_000_000) {
+            assertTrue(System.nanoTime() < end, "not counted");
+            Thread.onSpinWait();
+        }
+        for (Client c : clients) {
+            c.close();
+        }
+        while (node.loop.submit(node.memoryBudget::usedBytes).get() > 0) {
+            assertTrue(System.nanoTime() < end, "still counted");
+            Thread.onSpinWait();
+        }
+    }
+}
