Answer a client that stops in the middle of a large request

A peer that sent megabytes of a body at once and then nothing more was answered only once its mean rate had fallen below 32 bytes/ms: 94 s after 3 MB. It is owed an error or a close within 3 s. Cause: slowness was judged by the mean since the head. Now a body of which nothing arrives for 2.5 s while it could is answered 408 as well. SlowRequestTest.clientThatStopsInTheMiddleOfALargeRequestIsAnswered waits over 30 s without it.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -158,7 +158,8 @@
             double waitedMs = hasSentRequest ? elapsedMs : now - partialHeadSinceMs;
             boolean slow =
                     waitedMs > REQUEST_TIMEOUT_MS && incoming.receivedBytes() < elapsedMs * MIN_BODY_BYTES_PER_MS;
-            if (slow && channel.config().isAutoRead()) {
+            boolean stopped = now - incoming.lastProgressMs() > REQUEST_TIMEOUT_MS;
+            if ((slow || stopped) && channel.config().isAutoRead()) {
                 respondAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         } else if (!busy
@@ -432,7 +433,7 @@
         }
         executeLater(this::readNow); // without a read it would be unknown whether anything has arrived
         if (incoming != null) {
-            incoming.readPaused(now - readPausedAtMs);
+            incoming.readPaused(now - readPausedAtMs, now);
             node.metrics.recordReadPause(now - readPausedAtMs);
         }
     }
@@ -504,6 +505,7 @@
             rejectMalformed();
             return;
         }
+        message.madeProgress(node.clock.now());
         message.add(content.content());
         if (message.dropped()) {
             return;
--- a/src/main/java/deckfall/net/IncomingRequest.java
+++ b/src/main/java/deckfall/net/IncomingRequest.java
@@ -46,6 +46,7 @@
     private Runnable acceptsMoreListener = () -> {};
     private long receivedBytes;
     private double readPauseMs;
+    private double lastProgressMs;
     private boolean complete;
     private boolean streamed; // at least partly forwarded to a receiver
     private boolean finishSent; // the receiver knows that the body is complete
@@ -60,6 +61,7 @@
         this.countedHeaders = CountedHeaders.of(head.headers());
         this.heldBytes = countedHeaders == null ? 0 : countedHeaders.bytes();
         this.startedMs = now;
+        this.lastProgressMs = now;
         this.declaredBytes = HttpUtil.getContentLength(head, (long) UNKNOWN_LENGTH);
     }
 
@@ -75,9 +77,20 @@
         return receivedBytes;
     }
 
-    /** Records that the client was not read for some time, so that it could not send. */
-    void readPaused(double pausedMs) {
+    /** Records that the client was not read for some time, until now, so that it could not send. */
+    void readPaused(double pausedMs, double now) {
         readPauseMs += pausedMs;
+        lastProgressMs = now;
+    }
+
+    /** Records that a part of the body has arrived. */
+    void madeProgress(double now) {
+        lastProgressMs = now;
+    }
+
+    /** When the client last sent a part of this request, or could again. */
+    double lastProgressMs() {
+        return lastProgressMs;
     }
 
     /** The time for which the client was not read since this request began. */
--- a/src/test/java/deckfall/net/SlowRequestTest.java
+++ b/src/test/java/deckfall/net/SlowRequestTest.java
@@ -177,6 +177,15 @@
         }
     }
 
+    /** Guards against a peer that sends most of a large request and then nothing more, and is never answered. */
+    @Test
+    void clientThatStopsInTheMiddleOfALargeRequestIsAnswered() throws Exception {
+        Server host = closeables.closeLater(new Server((m, s) -> {}));
+        Client c = client(node(host.address())).send(head("Content-Length: 30000000", TIMEOUT_MS));
+        c.socket.getOutputStream().write(pattern(3_000_000));
+        assertEquals(408, c.receive().status());
+    }
+
     /** Guards against bodies that wait to be sent and that nothing counts or bounds. */
     @Test
     void bodiesThatHostsDoNotTakeAreCounted() throws Exception {
