--- a/src/test/java/deckfall/net/SlowRequestTest.java
+++ b/src/test/java/deckfall/net/SlowRequestTest.java
@@ -11,6 +11,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.DecisionModule;
+import deckfall.Gateway.Actions;
+import deckfall.Gateway.Events;
 import deckfall.net.TestEndpoints.Client;
 import deckfall.net.TestEndpoints.DiscoveryServer;
 import deckfall.net.TestEndpoints.Message;
@@ -24,6 +26,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.extension.RegisterExtension;
@@ -39,13 +42,25 @@
     final Closeables closeables = new Closeables();
 
     private Node node(String... addresses) throws IOException {
+        return node(DecisionModule::new, addresses);
+    }
+
+    /** A decision module that sends each request once and never ends an attempt by itself. */
+    private static Events sendOnce(Actions actions) {
+        return new ScriptedModule((now, r) -> actions.send(r.id(), "h0", 0), result -> {
+            if (!result.requestClosed()) {
+                actions.fail(result.id());
+            }
+        });
+    }
+
+    private Node node(Function<Actions, Events> module, String... addresses) throws IOException {
         String[] entries = new String[addresses.length];
         for (int i = 0; i < addresses.length; i++) {
             entries[i] = hostEntry("h" + i, addresses[i], "ready");
         }
         DiscoveryServer discovery = closeables.closeLater(new DiscoveryServer(hostList(1, true, entries)));
-        Node node = TestEndpoints.node(
-                TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"), DecisionModule::new);
+        Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"), module);
         closeables.push(node::stop);
         return node;
     }
@@ -81,7 +96,7 @@
     @Test
     void requestThatItsHostDoesNotTakeIsAnsweredInTime() throws Exception {
         for (String length : List.of("Content-Length: 24000000", "Transfer-Encoding: chunked")) {
-            Client c = client(node(stuckHost())).send(head(length, WAIT_MS));
+            Client c = client(node(SlowRequestTest::sendOnce, stuckHost())).send(head(length, WAIT_MS));
             Thread writer = new Thread(() -> {
                 byte[] chunk = bytes("10000\r\n" + "x".repeat(0x10000) + "\r\n");
                 try {
