Bound the number of customers that a gateway knows

Beyond 10,000 customers a new one now takes the place of the oldest that has been idle for a second and whose cap is full again; while all are active, a new one is refused (refused_CUSTOMERS in the tally).

--- a/src/main/java/deckfall/DecisionModule.java
+++ b/src/main/java/deckfall/DecisionModule.java
@@ -333,7 +333,7 @@
     private final Actions actions;
     private final Map<String, ClassState> classes = new LinkedHashMap<>();
     private final Map<String, Integer> planNumbers = new LinkedHashMap<>();
-    private final Map<Long, CustomerState> customers = new LinkedHashMap<>();
+    private final CustomerTable customers = new CustomerTable();
     private final Map<String, TrackedHost> hosts = new LinkedHashMap<>();
     private final Map<String, RequestState> requests = new LinkedHashMap<>();
 
@@ -457,6 +457,10 @@
         if (classState == null) actions.refuse(details.id(), 0, Refusal.UNKNOWN);
         if (classState == null) return;
         Integer planNumber = planNumbers.get(details.plan());
+        if (planNumber != null && !customers.contains(details.customer()) && !customers.makeRoom(now)) {
+            actions.refuse(details.id(), 0, Refusal.CUSTOMERS);
+            return;
+        }
         CustomerState customer = planNumber == null
                 ? null
                 : customerState(now, details.customer(), planNumber, details.first(), details.spread());
@@ -572,7 +576,7 @@
             // this gateway may have spent before a restart (rule 5).
             double filled = (now - startedAt) / 1000 * plan.capRate() * capShare(customer);
             customer.capTokens = Math.min(maxCapTokens(customer), filled);
-            customers.put(id, customer);
+            customers.put(customer);
         }
         refill(now, customer);
         return customer;
@@ -920,7 +924,7 @@
     @Override
     public void restoreCustomers(double now, List<CustomerSnapshot> snapshots) {
         for (CustomerSnapshot snapshot : snapshots) {
-            boolean known = customers.containsKey(snapshot.customer());
+            boolean known = customers.contains(snapshot.customer());
             if (known
                     || snapshot.plan() < 0
                     || snapshot.plan() >= settings.plans().size()) continue;
@@ -1756,11 +1760,8 @@
         if (now - sweptAt < SWEEP_INTERVAL_MS) return;
         sweptAt = now;
         unreportedCustomers.removeIf(customer -> now - customer.refilledAt > IDLE_EXPIRY_MS);
-        customers
-                .values()
-                .removeIf(customer -> now - customer.refilledAt > IDLE_EXPIRY_MS
-                        && customer.openRequests == 0
-                        && customer.pending.isEmpty());
+        customers.removeIf(customer ->
+                now - customer.refilledAt > IDLE_EXPIRY_MS && customer.openRequests == 0 && customer.pending.isEmpty());
         hosts.values().removeIf(host -> !host.listed && host.attemptsInFlight.isEmpty());
     }
 }
--- a/src/main/java/deckfall/Gateway.java
+++ b/src/main/java/deckfall/Gateway.java
@@ -79,7 +79,9 @@
         /** The customer has as many open requests as its plan allows. */
         OPEN,
         /** No host had room for the request while it was worth sending. */
-        PLACE
+        PLACE,
+        /** Its customer is new, and too many customers are active. */
+        CUSTOMERS
     }
 
     /**
