Give each client connection a bounded turn, and flush its responses together

Cause: all that one read brought, some 10,000 requests, was answered in one task, each response with a flush of its own.

A connection now processes 16 requests in a turn, and further turns wait for the next iteration of the event loop, eight of them at a time in fair order; responses of a turn are flushed together; a connection is closed with the response to its 8th improper request; one that has 512 unsent writes is not processed until it takes some; reading resumes only below half of the read-ahead bound.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -39,6 +39,10 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter
         implements StrictRequestDecoder.Receiver, MemoryBudget.Holder {
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024; // per connection; beyond this, reading is paused
+    private static final int RESUMED_READ_AHEAD_BYTES = MAX_READ_AHEAD_BYTES / 2; // below this, it is resumed
+    private static final int MAX_REQUESTS_PER_TURN = 16; // then other connections have their turn
+    private static final int MAX_UNSENT_WRITES = 512; // with more, no request is processed until some are sent
+    private static final int MAX_IMPROPER_REQUESTS = 8; // a connection is closed with the response to the last one
     private static final int MAX_DECODED_BYTES = 16 * 1024; // decoded parts of a body that wait to be processed
     // Only what follows a request is taken back if all memory together is at least this multiple of the request's
     private static final int MIN_READ_AHEAD_RATIO = 4;
@@ -81,6 +85,10 @@
     private boolean closeDelimited; // the close of the connection ends the response
     private boolean closing; // the last response is on its way
     private boolean discarding; // the rest of an unwanted body is being read
+    private int requestsInTurn; // requests begun in the current turn
+    private boolean inTurn; // responses are flushed together at the end of the turn
+    private boolean unflushed; // responses of the current turn
+    private int improperRequests;
     private boolean gaveUp; // the account has given up: the connection is closed with its last response
     private double partialHeadSinceMs; // since when a head is awaited or incomplete, 0 if neither
     private double readPausedAtMs; // when reading was last paused
@@ -177,7 +185,10 @@
      */
     void closeAtDrainEnd() {
         readNow();
-        processHeld(); // what has been read may be a request
+        do { // what has been read may be requests
+            requestsInTurn = 0;
+            processHeld();
+        } while (turnIsOver() && hasUnprocessed() && !closing && channel.isActive());
         if (incoming != null && !closing) {
             respond(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         } else if (!busy && !closing) {
@@ -229,7 +240,7 @@
         if (closing) {
             return discarding;
         }
-        return insideRequest ? queuedBytes < MAX_DECODED_BYTES : !busy && queue.isEmpty();
+        return insideRequest ? queuedBytes < MAX_DECODED_BYTES : !busy && queue.isEmpty() && !mustWait();
     }
 
     @Override
@@ -320,11 +331,20 @@
         }
     }
 
-    private void processRead() {
+    /**
+     * Processes what has been read, up to a number of requests, so that a client that sends many at once does not hold up
+     * others.
+     */
+    void processRead() {
         if (!channel.isActive()) {
             return;
         }
+        requestsInTurn = 0;
         processHeld();
+        if (turnIsOver() && hasUnprocessed() && !closing) {
+            server.scheduleTurn(this);
+            return;
+        }
         boolean partial = !busy && decoder.hasPartialMessage();
         if (!partial && hasSentRequest) {
             partialHeadSinceMs = 0;
@@ -355,27 +375,48 @@
         addQueuedBytes(-queuedBytes);
     }
 
+    private boolean turnIsOver() {
+        return requestsInTurn >= MAX_REQUESTS_PER_TURN;
+    }
+
+    private boolean hasUnprocessed() {
+        return !queue.isEmpty() || decoder.undecodedBytes() > 0;
+    }
+
     /** Processes what has been decoded, and decodes what was received as far as this connection takes it now. */
     private void processHeld() {
-        processQueue();
+        inTurn = true;
         try {
-            for (decoder.decodeHeld(); !queue.isEmpty() && !waitsForResponse(); decoder.decodeHeld()) {
+            processQueue();
+            for (decoder.decodeHeld(); !queue.isEmpty() && !mustWait(); decoder.decodeHeld()) {
                 processQueue();
             }
         } catch (Exception e) { // the decoder reports improper messages as such
             closeOnError(e);
             return;
+        } finally {
+            inTurn = false;
+            flushTurn();
         }
         updateAutoRead();
     }
 
-    /** Whether nothing more is processed until the current request has its response. */
-    private boolean waitsForResponse() {
-        return closing || busy && incoming == null;
+    private void flushTurn() {
+        if (unflushed) {
+            unflushed = false;
+            flush();
+        }
+    }
+
+    /** Whether nothing more is processed for now. */
+    private boolean mustWait() {
+        boolean awaitsResponse = busy && incoming == null;
+        boolean takesNoResponses = !busy && !channel.isWritable() && channel.unsentWrites() >= MAX_UNSENT_WRITES;
+        return closing || awaitsResponse || takesNoResponses || !busy && turnIsOver();
     }
 
     private void processQueue() {
-        while (!queue.isEmpty() && !waitsForResponse()) {
+        while (!queue.isEmpty() && !mustWait()) {
             QueuedMessage next = queue.poll();
             HttpObject message = next.message();
             messageReceivedMs = next.receivedMs();
@@ -409,7 +450,7 @@
     private void updateAutoRead() {
         boolean autoRead = incoming != null && !closing
                 ? incoming.acceptsMore()
-                : queuedBytes + decoder.undecodedBytes() < MAX_READ_AHEAD_BYTES;
+                : queuedBytes + decoder.undecodedBytes() < maxReadAheadBytes();
         if (channel.config().isAutoRead() != autoRead) {
             recordReadPause(autoRead);
             channel.config().setAutoRead(autoRead);
@@ -424,6 +465,11 @@
         }
     }
 
+    /** The bound of what is read ahead: lower once reading is paused, so that it is not paused at each request. */
+    private int maxReadAheadBytes() {
+        return channel.config().isAutoRead() ? MAX_READ_AHEAD_BYTES : RESUMED_READ_AHEAD_BYTES;
+    }
+
     private void recordReadPause(boolean ends) {
         double now = node.clock.now();
         if (!ends) {
@@ -463,6 +509,7 @@
 
     private void startRequest(HttpRequest head) {
         busy = true;
+        requestsInTurn++;
         server.setIdle(this, false);
         http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
         if (head.decoderResult().isFailure() || !hasUnambiguousLength(head)) {
@@ -560,6 +607,8 @@
     }
 
     private void respondInvalid(IncomingRequest message) {
+        improperRequests++;
+        keepAlive &= improperRequests < MAX_IMPROPER_REQUESTS;
         respond(
                 message.head.headers().contains(HeaderNames.TRACE_ID)
                         ? HttpResponseStatus.BAD_REQUEST
@@ -694,11 +743,15 @@
         setConnectionHeader(response);
         ChannelFuture sent = null;
         if (closing) {
-            sent = channel.writeAndFlush(response);
+            sent = channel.write(response);
         } else {
-            channel.writeAndFlush(response, channel.voidPromise());
+            channel.write(response, channel.voidPromise());
+        }
+        if (inTurn) {
+            unflushed = true;
+        } else {
+            flush();
         }
-        countUnsent();
         responseWritten(sent);
     }
 
@@ -731,9 +784,9 @@
             closeAfter(sent);
             return;
         }
-        if (queue.isEmpty() && decoder.undecodedBytes() == 0) {
+        if (!hasUnprocessed()) {
             server.setIdle(this, true);
-        } else { // not at once, as a response may be written while its request is still being processed
+        } else if (!inTurn) {
             executeLater(this::processRead);
         }
     }
@@ -822,6 +875,8 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (transfer != null) {
             transfer.clientWritable();
+        } else if (!busy && channel.isWritable()) {
+            executeLater(this::processRead);
         }
     }
 
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -7,9 +7,11 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +28,7 @@
     private static final int ACCEPT_BACKLOG = 512;
     private static final double FIRST_REQUEST_GRACE_MS = 10; // a new connection's first request may be on its way
     private static final long CHECK_INTERVAL_MS = 100;
+    private static final int TURNS_PER_ITERATION = 8; // of the event loop
 
     private final Node node;
     private final RequestReader requestReader;
@@ -33,6 +36,7 @@
     private final LinkedHashSet<ClientConnection> idleConnections = new LinkedHashSet<>(); // longest idle first
     private final AtomicInteger connectionCount = new AtomicInteger();
     private final ConnectionLimits limits;
+    private final ArrayDeque<ClientConnection> waitingForTurn = new ArrayDeque<>(); // in the order of their turns
     private AcceptRetry acceptRetry; // of the current listener
     private RetryingServerSocketChannel listener;
     private double lastActivityMs;
@@ -187,6 +191,34 @@
         connectionCount.set(connections.size());
     }
 
+    /**
+     * Gives a connection that has more requests a further turn, in one of the next iterations of the event loop. Between
+     * them the loop serves all other connections.
+     */
+    void scheduleTurn(ClientConnection c) {
+        waitingForTurn.addLast(c);
+        if (waitingForTurn.size() == 1) {
+            scheduleTurns();
+        }
+    }
+
+    private void scheduleTurns() {
+        // A task would run in this iteration, if it is added by a task
+        ((SingleThreadEventLoop) node.loop).executeAfterEventLoopIteration(() -> node.loop.execute(this::runTurns));
+    }
+
+    private void runTurns() {
+        int turns = Math.min(TURNS_PER_ITERATION, waitingForTurn.size());
+        for (int i = 0; i < turns; i++) {
+            ClientConnection next = waitingForTurn.getFirst();
+            next.contain(next::processRead); // which may schedule its next turn, at the end
+            waitingForTurn.removeFirst();
+        }
+        if (!waitingForTurn.isEmpty()) {
+            scheduleTurns();
+        }
+    }
+
     /** Sets whether the connection is idle, so that it may be closed. */
     void setIdle(ClientConnection c, boolean isIdle) {
         if (isIdle) {
--- a/src/main/java/deckfall/net/RetryingSocketChannel.java
+++ b/src/main/java/deckfall/net/RetryingSocketChannel.java
@@ -64,6 +64,12 @@
         return out == null ? 0 : out.totalPendingWriteBytes() + (long) out.size() * PENDING_WRITE_BYTES;
     }
 
+    /** The number of writes that the system has not taken yet. */
+    int unsentWrites() {
+        ChannelOutboundBuffer out = unsafe().outboundBuffer(); // null once closed
+        return out == null ? 0 : out.size();
+    }
+
     /** Resets the read delay: bytes that are read from now on have arrived since. */
     void resetReadDelay() {
         readDelayMs = 0;
--- a/src/test/java/deckfall/soak/SlowPeers.java
+++ b/src/test/java/deckfall/soak/SlowPeers.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +21,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Real gateway processes between clients and seat servers that write long responses, or read large requests, slowly.
@@ -103,7 +108,8 @@
                   "classes": [
                    {"name": "seat-lookup", "effect": "repeatable", "goal_time_ms": 1000, "hard_limit_ms": 2500, "worth": 1},
                    {"name": "seat-booking", "effect": "once", "goal_time_ms": 1500, "hard_limit_ms": 6000, "worth": 5}],
-                  "plans": [{"name": "basic", "units_per_s": 100000, "depth": 100000}]}}
+                  "plans": [{"name": "basic", "units_per_s": 100000, "depth": 100000},
+                   {"name": "tiny", "units_per_s": 0.001, "depth": 1}]}}
                 """.formatted(
                         gateway.number,
                         gateway.address().getPort(),
@@ -129,6 +135,67 @@
         }
     }
 
+    /** The only process of a gateway. */
+    GatewayProcess process(int gateway) {
+        return gateways.get(gateway).processes.get(0);
+    }
+
+    /** The most memory that a gateway has had resident so far. */
+    long peakMemoryBytes(int gateway) throws IOException {
+        String status =
+                Files.readString(Path.of("/proc/" + process(gateway).handle.pid() + "/status"));
+        String line =
+                status.lines().filter(l -> l.startsWith("VmHWM")).findFirst().orElseThrow();
+        return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1024;
+    }
+
+    /**
+     * Sends ordinary lookups to a gateway, one every {@code intervalMs} and each on a connection of its own, until the
+     * returned handle is closed. Those that are not answered in time are among {@link #broken}.
+     */
+    OrdinaryClients startOrdinaryClients(int gateway, int intervalMs, int waitMs) {
+        return new OrdinaryClients(gateway, intervalMs, waitMs);
+    }
+
+    /** Clients that keep sending ordinary lookups. */
+    final class OrdinaryClients implements AutoCloseable {
+        final AtomicInteger served = new AtomicInteger();
+        final AtomicInteger sent = new AtomicInteger();
+        private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+        private final ExecutorService clients = Executors.newCachedThreadPool();
+
+        private OrdinaryClients(int gateway, int intervalMs, int waitMs) {
+            clock.scheduleAtFixedRate(
+                    () -> clients.execute(() -> lookUpQuickly(gateway, waitMs)), 0, intervalMs, TimeUnit.MILLISECONDS);
+        }
+
+        private void lookUpQuickly(int gateway, int waitMs) {
+            String id = newId();
+            LongResponse expected = new LongResponse(Framing.LENGTH, id.length(), 0, 0, waitMs);
+            try (Socket socket = connect(gateway)) {
+                socket.getOutputStream().write(ascii(head("GET", "/seat-lookup/x", id, waitMs) + "\r\n"));
+                sent.incrementAndGet();
+                double sentAtMs = nowMs();
+                Response response = Response.read(socket.getInputStream());
+                checkTime(gateway, id, expected, response, sentAtMs + waitMs);
+                served.addAndGet(response.status == 200 ? 1 : 0);
+            } catch (IOException e) {
+                broken.add(id + " on gateway " + gateway + ": " + e);
+            }
+        }
+
+        @Override
+        public void close() {
+            clock.shutdownNow();
+            clients.shutdown();
+            try {
+                clients.awaitTermination(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
     /** What broke a rule so far, a line each. */
     List<String> broken() {
         return List.copyOf(broken);
@@ -181,7 +248,8 @@
         return String.format(Locale.ROOT, "%016x", ++nextId);
     }
 
-    private Socket connect(int gateway) throws IOException {
+    /** Opens a connection with small buffers to a gateway. */
+    Socket connect(int gateway) throws IOException {
         Socket socket = new Socket();
         socket.setSendBufferSize(BUFFER_BYTES);
         socket.setReceiveBufferSize(BUFFER_BYTES);
@@ -191,7 +259,8 @@
         return socket;
     }
 
-    private static String head(String method, String target, String id, int waitMs) {
+    /** The head of a request, without the line that ends it. */
+    static String head(String method, String target, String id, int waitMs) {
         return method + " " + target + " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + id
                 + "\r\nX-Plan: basic\r\nX-Customer: 00000000b4d65521\r\nX-Expires-In-Ms: " + waitMs
                 + "\r\nX-Quota: units=1,spread=1,first=0\r\n";
@@ -291,7 +360,7 @@
         }
     }
 
-    private static byte[] ascii(String text) {
+    static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
@@ -432,6 +501,10 @@
                     Map<String, String> fields = new TreeMap<>();
                     String first = readHead(in, fields);
                     Map<String, String> query = query(first.split(" ")[1]);
+                    if (!query.containsKey("rate")) {
+                        readAndAnswer(in, fields, socket.getOutputStream());
+                        continue;
+                    }
                     if (query.containsKey("most")) {
                         readSlowly(in, Integer.parseInt(query.get("rate")), Integer.parseInt(query.get("most")));
                         return;
@@ -444,8 +517,19 @@
             }
         }
 
+        /** Answers a small request at once, with its id. */
+        private static void readAndAnswer(InputStream in, Map<String, String> fields, OutputStream out)
+                throws IOException {
+            in.readNBytes(Integer.parseInt(fields.getOrDefault("content-length", "0")));
+            String id = fields.get("x-trace-id");
+            out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id));
+        }
+
         private static Map<String, String> query(String target) {
             Map<String, String> query = new TreeMap<>();
+            if (target.indexOf('?') < 0) {
+                return query;
+            }
             for (String part : target.substring(target.indexOf('?') + 1).split("&")) {
                 int equals = part.indexOf('=');
                 query.put(part.substring(0, equals), part.substring(equals + 1));
