--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -63,6 +63,13 @@
         decodeWith((ByteBuf) message);
     }
 
+    /** Decodes nothing more: the client has gone. */
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        memory.discard();
+        super.channelInactive(ctx);
+    }
+
     private void decodeWith(ByteBuf received) throws Exception {
         reading = true;
         try {
