Bound a turn by its work, and what is held for a slow reader when there are many

Causes: one read of a host's connection brought up to 256 KB for a client that took none, 300 times that is more than the budget; a turn was bounded by requests, not by the fields and parts of bodies in them; and each connection had its first turn at once. Now reading from the host stops within the read, and a connection is left with 4 KB unsent while a quarter of the budget is used; a turn ends after a bounded amount of work (memory of heads, parts of bodies); a connection with more than an ordinary request to process waits for its turn behind others, 5 ms of turns an iteration; a client is read at most 64 KB an iteration.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -40,7 +40,15 @@
         implements StrictRequestDecoder.Receiver, MemoryBudget.Holder {
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024; // per connection; beyond this, reading is paused
     private static final int RESUMED_READ_AHEAD_BYTES = MAX_READ_AHEAD_BYTES / 2; // below this, it is resumed
-    private static final int MAX_REQUESTS_PER_TURN = 16; // then other connections have their turn
+    // The work of a turn, after which other connections have theirs: the memory of the heads that were processed, and
+    // for
+    // each request and each part of a body as much as that takes the time of
+    private static final int MAX_WORK_PER_TURN = 32 * 1024;
+    private static final int REQUEST_WORK = 2 * 1024;
+    private static final int MAX_IMMEDIATE_BYTES = 4 * 1024; // an ordinary request is processed when it has been read
+    private static final int MAX_UNSENT_BYTES_UNDER_PRESSURE = 4 * 1024; // of a response, while much memory is held
+    private static final int CONTENT_WORK = 512;
+    private static final int MAX_READS_FOR_CLOSE = 8; // to find a close by the client behind what it has sent
     private static final int MAX_UNSENT_WRITES = 512; // with more, no request is processed until some are sent
     private static final int MAX_IMPROPER_REQUESTS = 8; // a connection is closed with the response to the last one
     private static final int MAX_DECODED_BYTES = 16 * 1024; // decoded parts of a body that wait to be processed
@@ -85,8 +93,9 @@
     private boolean closeDelimited; // the close of the connection ends the response
     private boolean closing; // the last response is on its way
     private boolean discarding; // the rest of an unwanted body is being read
-    private int requestsInTurn; // requests begun in the current turn
+    private long workInTurn; // work done in the current turn
     private boolean inTurn; // responses are flushed together at the end of the turn
+    private boolean awaitsTurn; // the server will give it a further turn
     private boolean unflushed; // responses of the current turn
     private int improperRequests;
     private boolean gaveUp; // the account has given up: the connection is closed with its last response
@@ -186,7 +195,7 @@
     void closeAtDrainEnd() {
         readNow();
         do { // what has been read may be requests
-            requestsInTurn = 0;
+            workInTurn = 0;
             processHeld();
         } while (turnIsOver() && hasUnprocessed() && !closing && channel.isActive());
         if (incoming != null && !closing) {
@@ -240,7 +249,12 @@
         if (closing) {
             return discarding;
         }
-        return insideRequest ? queuedBytes < MAX_DECODED_BYTES : !busy && queue.isEmpty() && !mustWait();
+        if (!inTurn && waitsForTurn()) {
+            return false;
+        }
+        return insideRequest
+                ? queuedBytes < MAX_DECODED_BYTES && !turnIsOver()
+                : !busy && queue.isEmpty() && !mustWait();
     }
 
     @Override
@@ -314,7 +328,11 @@
             unreadBytes.leftUnread(node.clock.now(), maxWaitMs());
         }
         channel.resetReadDelay();
-        executeLater(this::processRead);
+        if (waitsForTurn()) {
+            scheduleTurn();
+        } else {
+            executeLater(this::processRead);
+        }
     }
 
     /** Runs an action of this connection in a task of its own, for which exceptionCaught is not called. */
@@ -336,13 +354,14 @@
      * others.
      */
     void processRead() {
+        awaitsTurn = false;
         if (!channel.isActive()) {
             return;
         }
-        requestsInTurn = 0;
+        workInTurn = 0;
         processHeld();
         if (turnIsOver() && hasUnprocessed() && !closing) {
-            server.scheduleTurn(this);
+            scheduleTurn();
             return;
         }
         boolean partial = !busy && decoder.hasPartialMessage();
@@ -375,8 +394,20 @@
         addQueuedBytes(-queuedBytes);
     }
 
+    /** Whether so much is to be processed that others go first. */
+    private boolean waitsForTurn() {
+        return awaitsTurn || decoder.undecodedBytes() > MAX_IMMEDIATE_BYTES;
+    }
+
+    private void scheduleTurn() {
+        if (!awaitsTurn) {
+            awaitsTurn = true;
+            server.scheduleTurn(this);
+        }
+    }
+
     private boolean turnIsOver() {
-        return requestsInTurn >= MAX_REQUESTS_PER_TURN;
+        return workInTurn >= MAX_WORK_PER_TURN;
     }
 
     private boolean hasUnprocessed() {
@@ -412,7 +443,8 @@
     private boolean mustWait() {
         boolean awaitsResponse = busy && incoming == null;
         boolean takesNoResponses = !busy && !channel.isWritable() && channel.unsentWrites() >= MAX_UNSENT_WRITES;
-        return closing || awaitsResponse || takesNoResponses || !busy && turnIsOver();
+        boolean endsRequest = busy && !queue.isEmpty() && queue.peek().message() instanceof LastHttpContent;
+        return closing || awaitsResponse || takesNoResponses || turnIsOver() && !endsRequest;
     }
 
     private void processQueue() {
@@ -448,9 +480,8 @@
      * Reads on only while there is room for more data. Requests that were read ahead stay queued as they were received.
      */
     private void updateAutoRead() {
-        boolean autoRead = incoming != null && !closing
-                ? incoming.acceptsMore()
-                : queuedBytes + decoder.undecodedBytes() < maxReadAheadBytes();
+        boolean bodyAcceptsMore = incoming == null || closing || incoming.acceptsMore();
+        boolean autoRead = bodyAcceptsMore && queuedBytes + decoder.undecodedBytes() < maxReadAheadBytes();
         if (channel.config().isAutoRead() != autoRead) {
             recordReadPause(autoRead);
             channel.config().setAutoRead(autoRead);
@@ -503,13 +534,19 @@
 
     /** Whether the client has closed its connection, even if the event loop has been too busy to notice. */
     boolean closedByClient() {
-        readNow();
+        for (int i = 0; i < MAX_READS_FOR_CLOSE; i++) {
+            readNow();
+            if (unreadBytes.foundEmpty()) {
+                break;
+            }
+        }
         return !channel.isActive();
     }
 
     private void startRequest(HttpRequest head) {
         busy = true;
-        requestsInTurn++;
+        CountedHeaders fields = CountedHeaders.of(head.headers());
+        workInTurn += REQUEST_WORK + (fields == null ? 0 : fields.bytes());
         server.setIdle(this, false);
         http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
         if (head.decoderResult().isFailure() || !hasUnambiguousLength(head)) {
@@ -548,6 +585,7 @@
 
     private void handleContent(HttpContent content) {
         IncomingRequest message = incoming;
+        workInTurn += CONTENT_WORK;
         if (content.decoderResult().isFailure()) {
             rejectMalformed();
             return;
@@ -697,10 +735,15 @@
     private void countUnsentAgain() {
         awaitsSent = false;
         countUnsent();
+        if (transfer != null) {
+            transfer.clientWritable();
+        }
     }
 
+    /** Whether more of a streamed response can be written. With many slow readers, little is held for each. */
     boolean writable() {
-        return channel.isWritable();
+        return channel.isWritable()
+                && (!node.memoryBudget.underPressure() || channel.unsentBytes() <= MAX_UNSENT_BYTES_UNDER_PRESSURE);
     }
 
     /** Ends the streamed response, which is complete. */
--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -25,10 +25,11 @@
     private static final int MIN_READ_BUFFER_BYTES = 256;
     private static final int INITIAL_READ_BUFFER_BYTES = 2048;
     private static final int MAX_READ_BUFFER_BYTES = 16 * 1024; // small, as many connections are read at once
+    private static final int MAX_READS_PER_ITERATION = 4; // of a connection, for others to be read as well
     private static final int ACCEPT_BACKLOG = 512;
     private static final double FIRST_REQUEST_GRACE_MS = 10; // a new connection's first request may be on its way
     private static final long CHECK_INTERVAL_MS = 100;
-    private static final int TURNS_PER_ITERATION = 8; // of the event loop
+    private static final double MAX_TURNS_MS = 5; // in an iteration of the event loop
 
     private final Node node;
     private final RequestReader requestReader;
@@ -49,10 +50,10 @@
         limits = new ConnectionLimits(node.config.sockets());
     }
 
-    /** An allocator of read buffers that start small and grow with the data received. */
-    static RecvByteBufAllocator readBufferAllocator() {
-        return new AdaptiveRecvByteBufAllocator(
-                MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES);
+    /** An allocator of read buffers that start small and grow, and that bounds the reads in an event loop iteration. */
+    static RecvByteBufAllocator readBufferAllocator(int readsPerIteration) {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES)
+                .maxMessagesPerRead(readsPerIteration);
     }
 
     /**
@@ -70,7 +71,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_RCVBUF, UnreadBytes.RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBufferAllocator())
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBufferAllocator(MAX_READS_PER_ITERATION))
                 .childHandler(new ChannelInitializer<RetryingSocketChannel>() {
                     @Override
                     protected void initChannel(RetryingSocketChannel ch) {
@@ -192,8 +193,8 @@
     }
 
     /**
-     * Gives a connection that has more requests a further turn, in one of the next iterations of the event loop. Between
-     * them the loop serves all other connections.
+     * Gives a connection that has much to process a turn, in one of the next iterations of the event loop. Between them
+     * the loop serves all other connections.
      */
     void scheduleTurn(ClientConnection c) {
         waitingForTurn.addLast(c);
@@ -208,8 +209,8 @@
     }
 
     private void runTurns() {
-        int turns = Math.min(TURNS_PER_ITERATION, waitingForTurn.size());
-        for (int i = 0; i < turns; i++) {
+        double endMs = node.clock.now() + MAX_TURNS_MS;
+        for (int left = waitingForTurn.size(); left > 0 && node.clock.now() < endMs; left--) {
             ClientConnection next = waitingForTurn.getFirst();
             next.contain(next::processRead); // which may schedule its next turn, at the end
             waitingForTurn.removeFirst();
--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -36,6 +36,7 @@
     // a duplicate of a response may arrive some milliseconds after it
     private static final double REUSE_DELAY_MS = 30;
     private static final long IDLE_SWEEP_INTERVAL_MS = 500;
+    private static final int MAX_READS_PER_ITERATION = 16; // of a connection
     private static final double MAX_DESCRIPTOR_FRACTION = 0.45; // of all descriptors
     /**
      * Descriptors for all other uses: 22 of a process that has just started, discovery and the counter, 16 connections
@@ -65,7 +66,7 @@
                 .channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WRITE_BUFFER_WATER_MARK)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, ClientServer.readBufferAllocator())
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ClientServer.readBufferAllocator(MAX_READS_PER_ITERATION))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, node.config.connectTimeoutMs()));
         node.loop.schedule(this::closeIdle, IDLE_SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/deckfall/net/MemoryBudget.java
+++ b/src/main/java/deckfall/net/MemoryBudget.java
@@ -52,6 +52,11 @@
         usedBytes -= bytes;
     }
 
+    /** Whether more than a quarter of the limit is used, so that nothing should be held in advance. */
+    boolean underPressure() {
+        return usedBytes > limitBytes / 4;
+    }
+
     /** Whether more than half of the limit is used, so that nothing should be buffered that can wait. */
     boolean nearlyExhausted() {
         return usedBytes > limitBytes / 2;
--- a/src/main/java/deckfall/net/ResponseTransfer.java
+++ b/src/main/java/deckfall/net/ResponseTransfer.java
@@ -43,6 +43,7 @@
             client.writeContent(content);
             if (!client.writable()) {
                 client.flush(); // not only once the host's connection has been read: many short parts take much memory
+                source.setReading(client.writable());
             }
         }
     }
