Send a request that must not run twice only once, also if its id comes again

A process knew an id only while its request was open, and nothing of the other process.

A request that comes again gets 502: it may have run.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -37,7 +37,7 @@
 
     @Override
     void beforeWrite() {
-        node.checkBeforeWrite(this);
+        node.beforeWrite(this);
     }
 
     @Override
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -4,12 +4,14 @@
 import deckfall.Gateway.Actions;
 import deckfall.Gateway.AttemptResult;
 import deckfall.Gateway.CustomerSnapshot;
+import deckfall.Gateway.Effect;
 import deckfall.Gateway.Events;
 import deckfall.Gateway.Host;
 import deckfall.Gateway.HostListKind;
 import deckfall.Gateway.Outcome;
 import deckfall.Gateway.Refusal;
 import deckfall.Gateway.Request;
+import deckfall.Gateway.RequestClass;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -28,6 +30,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
@@ -39,6 +42,7 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 
 /**
  * One API gateway process: the event loop on which all of its work runs, the clock, the timers, the decision module and
@@ -74,6 +78,8 @@
     private final Events module;
     private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
     private final Map<String, OpenRequest> openRequests = new HashMap<>();
+    private final SentRequests sentRequests = new SentRequests();
+    private final Set<String> classesRunOnce; // of which a request must never run twice
     private final ClientServer clientServer;
     private final HostClient hostClient;
     private final Discovery discovery;
@@ -109,6 +115,10 @@
         this.clock = clock;
         this.memoryBudget = new MemoryBudget(heldBytesLimit(config), config.sockets());
         this.metrics = new Metrics(config.settings().classes());
+        this.classesRunOnce = config.settings().classes().stream()
+                .filter(requestClass -> requestClass.effect() == Effect.ONCE)
+                .map(RequestClass::name)
+                .collect(Collectors.toUnmodifiableSet());
         this.module = moduleFactory.apply(this);
         this.clientServer = new ClientServer(this);
         this.hostClient = new HostClient(this);
@@ -364,6 +374,8 @@
      */
     SiblingWatch watchSiblings(Path folder) {
         SiblingFiles files = new SiblingFiles(folder, ProcessHandle.current().pid());
+        sentRequests.shareIn(
+                new SentRequestsFile(folder, ProcessHandle.current().pid()));
         siblingWatch = new SiblingWatch(files, clock, new SiblingWatch.LocalProcess() {
             @Override
             public boolean acceptsClients() {
@@ -389,6 +401,7 @@
 
             @Override
             public void onSiblings(SiblingWatch.SiblingCounts counts) {
+                sentRequests.findSiblingFiles();
                 loop.execute(() -> siblingsChanged(counts));
             }
 
@@ -444,6 +457,7 @@
      */
     private void readSiblingCustomers() {
         if (siblingWatch != null) {
+            sentRequests.findSiblingFiles();
             restoredCustomers = siblingWatch.customersOfServingSibling();
             log("restored " + restoredCustomers.size() + " customers from a sibling process");
         }
@@ -530,6 +544,13 @@
      */
     void requestReceived(Request request, double receivedMs, IncomingRequest message, ClientConnection client) {
         String id = request.id();
+        if (repeatsSentRequest(request)) {
+            tally.note(Tally.Count.REPEATED_ID, id, "none", "it may have run, and must not run again");
+            metrics.recordResult(request.requestClass(), Metrics.Result.ERROR);
+            message.release();
+            client.respond(HttpResponseStatus.BAD_GATEWAY, 0);
+            return;
+        }
         while (openRequests.containsKey(id)) { // the module identifies requests by id, and a client may repeat an id
             id = request.id() + '#' + ++duplicateIds;
         }
@@ -544,6 +565,16 @@
         deliver((now, m) -> deliverRequest(now, m, delivered, client));
     }
 
+    /** Whether a request with the same id may have run, or may yet, and must not run twice. */
+    private boolean repeatsSentRequest(Request request) {
+        return classesRunOnce.contains(request.requestClass())
+                && (openRequests.containsKey(request.id()) || sentRequests.contains(request.id()));
+    }
+
+    private boolean mustRunOnce(Attempt attempt) {
+        return classesRunOnce.contains(attempt.openRequest.request.requestClass());
+    }
+
     private static void deliverRequest(double now, Events module, Request request, ClientConnection client) {
         try {
             module.requestReceived(now, request);
@@ -734,6 +765,9 @@
      */
     private void reportAttempt(Attempt attempt, Outcome outcome, HttpResponse response) {
         tally.addAttempt(outcome);
+        if (outcome.neverRan() && attempt.started() && mustRunOnce(attempt)) {
+            sentRequests.forget(attempt.traceId());
+        }
         OpenRequest openRequest = attempt.openRequest;
         openRequest.attemptsInFlight--;
         boolean closed = openRequest.closed();
@@ -880,8 +914,14 @@
         return false;
     }
 
-    /** Checks at run time that {@link #maySend} was obeyed: no byte is written for a request that has ended. */
-    void checkBeforeWrite(Attempt attempt) {
+    /**
+     * Called before the first byte of an attempt is written. Checks that {@link #maySend} was obeyed: no byte is written
+     * for a request that has ended.
+     */
+    void beforeWrite(Attempt attempt) {
+        if (mustRunOnce(attempt)) {
+            sentRequests.record(attempt.traceId());
+        }
         if (attempt.ended || attempt.openRequest.closed() || drainExpired) {
             tally.add(Tally.Count.SENT_AFTER_END);
             log("defect: request " + attempt.openRequest.traceId + " sent to " + attempt.host + " after its end");
--- a/src/main/java/deckfall/net/Tally.java
+++ b/src/main/java/deckfall/net/Tally.java
@@ -24,6 +24,8 @@
         CUT_OFF,
         /** Responses that were passed on as they came when their attempt would have been ended. */
         RESPONSE_PASSED_ON,
+        /** Requests that came again although they may have run and must not run twice. */
+        REPEATED_ID,
         /** Attempts that this side ended in the middle of their response. */
         RESPONSE_ABANDONED,
         /** Attempts that this side ended before their host had taken the whole body. */
--- a/src/test/java/deckfall/soak/SlowPeers.java
+++ b/src/test/java/deckfall/soak/SlowPeers.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -61,11 +62,19 @@
     private final List<GatewayUnderTest> gateways = new ArrayList<>();
     private final List<SlowServer> servers = new ArrayList<>();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
+    private final Map<String, ConcurrentLinkedQueue<Double>> arrivals = new ConcurrentHashMap<>();
     private final Thread lagProbe = new Thread(this::probeLag);
     private volatile double maxLagMs;
     private int nextId;
 
+    /** Starts gateways of one process each. */
     SlowPeers(Path folder, int gatewayCount, String faults) throws IOException, InterruptedException {
+        this(folder, gatewayCount, faults, false);
+    }
+
+    /** The same; with an inherited listener, a second process can serve beside the first one. */
+    SlowPeers(Path folder, int gatewayCount, String faults, boolean inheritsListener)
+            throws IOException, InterruptedException {
         for (int i = 0; i < SERVERS; i++) {
             SlowServer server = new SlowServer();
             servers.add(server);
@@ -74,10 +83,15 @@
         FaultLibrary library = FaultLibrary.compile(folder);
         for (int g = 0; g < gatewayCount; g++) {
             GatewayUnderTest gateway = new GatewayUnderTest(
-                    g, false, SoakOptions.DEFAULT_SOCKETS, folder.resolve("g" + g), library, SoakCommand.command());
+                    g,
+                    inheritsListener,
+                    SoakOptions.DEFAULT_SOCKETS,
+                    folder.resolve("g" + g),
+                    library,
+                    SoakCommand.command());
             gateways.add(gateway);
             gateway.configure(config(gateway));
-            gateway.start("buffers," + BUFFER_BYTES + (faults.isEmpty() ? "" : ";" + faults));
+            gateway.start(plan(faults));
         }
         for (GatewayUnderTest gateway : gateways) {
             awaitReady(gateway.processes.get(0));
@@ -86,6 +100,17 @@
         lagProbe.start();
     }
 
+    private static String plan(String faults) {
+        return "buffers," + BUFFER_BYTES + (faults.isEmpty() ? "" : ";" + faults);
+    }
+
+    /** Starts another process of a gateway and waits until it is ready. */
+    GatewayProcess startAnother(int gateway) throws IOException, InterruptedException {
+        GatewayProcess process = gateways.get(gateway).start(plan(""));
+        awaitReady(process);
+        return process;
+    }
+
     private static void awaitReady(GatewayProcess process) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
         while (!process.isReady()) {
@@ -118,7 +143,7 @@
                         discovery.fullList());
     }
 
-    private static double nowMs() {
+    static double nowMs() {
         return System.nanoTime() / NANOS_PER_MS;
     }
 
@@ -135,7 +160,7 @@
         }
     }
 
-    /** The only process of a gateway. */
+    /** The first process of a gateway. */
     GatewayProcess process(int gateway) {
         return gateways.get(gateway).processes.get(0);
     }
@@ -196,6 +221,11 @@
         }
     }
 
+    /** When small requests arrived at seat servers, by id, in milliseconds of {@link #nowMs}. */
+    Map<String, ConcurrentLinkedQueue<Double>> arrivals() {
+        return arrivals;
+    }
+
     /** What broke a rule so far, a line each. */
     List<String> broken() {
         return List.copyOf(broken);
@@ -458,7 +488,7 @@
     // ---- seat servers
 
     /** A seat server that does what the query of each request says. */
-    private static final class SlowServer {
+    private final class SlowServer {
         private final ServerSocket listener = new ServerSocket();
 
         SlowServer() throws IOException {
@@ -480,7 +510,7 @@
             void run() throws IOException, InterruptedException;
         }
 
-        private static void daemon(Action action) {
+        private void daemon(Action action) {
             Thread thread = new Thread(() -> {
                 try {
                     action.run();
@@ -502,7 +532,7 @@
                     String first = readHead(in, fields);
                     Map<String, String> query = query(first.split(" ")[1]);
                     if (!query.containsKey("rate")) {
-                        readAndAnswer(in, fields, socket.getOutputStream());
+                        readAndAnswer(in, fields, query, socket.getOutputStream());
                         continue;
                     }
                     if (query.containsKey("most")) {
@@ -517,15 +547,18 @@
             }
         }
 
-        /** Answers a small request at once, with its id. */
-        private static void readAndAnswer(InputStream in, Map<String, String> fields, OutputStream out)
-                throws IOException {
+        /** Answers a small request with its id, after a delay if the query asks for one. */
+        private void readAndAnswer(
+                InputStream in, Map<String, String> fields, Map<String, String> query, OutputStream out)
+                throws IOException, InterruptedException {
             in.readNBytes(Integer.parseInt(fields.getOrDefault("content-length", "0")));
             String id = fields.get("x-trace-id");
+            arrivals.computeIfAbsent(id, key -> new ConcurrentLinkedQueue<>()).add(nowMs());
+            Thread.sleep(Long.parseLong(query.getOrDefault("delay", "0")));
             out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id));
         }
 
-        private static Map<String, String> query(String target) {
+        private Map<String, String> query(String target) {
             Map<String, String> query = new TreeMap<>();
             if (target.indexOf('?') < 0) {
                 return query;
@@ -538,8 +571,7 @@
         }
 
         /** Reads at a rate until the connection ends, or until it has read {@code most} bytes, and then no more. */
-        private static void readSlowly(InputStream in, int bytesPerSecond, int most)
-                throws IOException, InterruptedException {
+        private void readSlowly(InputStream in, int bytesPerSecond, int most) throws IOException, InterruptedException {
             int pieceBytes = bytesPerSecond * PIECE_MS / 1000;
             for (int total = 0; total < most; total += pieceBytes) {
                 if (in.readNBytes(pieceBytes).length < pieceBytes) {
@@ -550,8 +582,7 @@
             Thread.sleep(READ_TIMEOUT_MS);
         }
 
-        private static void writeSlowly(OutputStream out, Map<String, String> query)
-                throws IOException, InterruptedException {
+        private void writeSlowly(OutputStream out, Map<String, String> query) throws IOException, InterruptedException {
             Framing framing = Framing.valueOf(query.get("framing"));
             int bytes = Integer.parseInt(query.get("bytes"));
             int lumpMs = Integer.parseInt(query.get("lump"));
