Do not refuse a request that a host may be running for what its client sent behind it

Cause: a close by the client can't be noticed behind unread data, so a read pause of 80 ms ended the connection with a 503, whatever had become of the request before.

Such a request now keeps its connection and gets its response. What comes behind it is refused without being sent, and no further attempt begins (CLIENT_MAY_HAVE_LEFT), until a read has found nothing more, so that a close would have been seen. A request that was not sent is refused and its connection closed as before. RaceConditionTest.requestThatAHostIsRunningIsNotRefusedForWhatFollowsIt.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -12,6 +12,7 @@
     double sentAtMs; // for a streamed request, when the last byte of its body was sent
     private final Node node;
     boolean ended;
+    private boolean neverRan;
 
     Attempt(Node node, OpenRequest openRequest, String host, double sentAtMs) {
         this.node = node;
@@ -21,6 +22,16 @@
         this.sentAtMs = sentAtMs;
     }
 
+    /** Records that the host has certainly not run the request. */
+    void markNeverRan() {
+        neverRan = true;
+    }
+
+    /** Whether the host may have run the request, or may yet. */
+    boolean mayHaveRun() {
+        return started() && !neverRan;
+    }
+
     String traceId() {
         return openRequest.traceId;
     }
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -82,6 +82,7 @@
     private int queuedBytes;
     private boolean awaitsSent; // what is unsent will be counted again when it has been sent
     private Future<?> readPauseTimeout; // ends a read pause, in which a close by the client is not noticed
+    private boolean mayHaveLeft; // reading is paused for so long that the client may have left unnoticed
     private boolean closeAfterTransfer; // the connection is closed after the response that is being streamed
     private IncomingRequest incoming; // null once its last byte has been received
     private OpenRequest openRequest;
@@ -324,6 +325,7 @@
         server.setIdle(this, false); // a close would lose what has been read
         if (channel.allRead()) {
             unreadBytes.readInFull(node.clock.now());
+            mayHaveLeft = false; // a close would have been read
         } else {
             unreadBytes.leftUnread(node.clock.now(), maxWaitMs());
         }
@@ -516,8 +518,9 @@
     }
 
     /**
-     * Ends a read pause that took too long. A close by the client can't be noticed behind unread data, and nothing may
-     * be sent to a host for a client that has left.
+     * Handles a read pause that takes too long. A close by the client can't be noticed behind unread data, and nothing
+     * may be sent to a host for a client that has left. A request that a host may be running is not refused, as its
+     * client would send it again.
      */
     private void onReadPauseTimeout() {
         readPauseTimeout = null;
@@ -525,13 +528,18 @@
         if (readPauseTimeout == null) {
             return;
         }
-        if (transfer != null) {
-            closeAfterTransfer = true;
+        if (transfer != null || openRequest != null && openRequest.mayHaveRun()) {
+            mayHaveLeft = true; // its response is still awaited, but nothing more is sent to a host for this client
         } else {
             respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
 
+    /** Whether it is unknown if the client has closed its connection, as what it has sent could not be read so far. */
+    boolean mayHaveLeft() {
+        return mayHaveLeft;
+    }
+
     /** Whether the client has closed its connection, even if the event loop has been too busy to notice. */
     boolean closedByClient() {
         for (int i = 0; i < MAX_READS_FOR_CLOSE; i++) {
@@ -655,7 +663,10 @@
     }
 
     private boolean refusesNewRequest(IncomingRequest message) {
-        return node.openLimitReached() || node.memoryBudget.refuses(message.heldBytes()) || node.drainExpired();
+        return mayHaveLeft
+                || node.openLimitReached()
+                || node.memoryBudget.refuses(message.heldBytes())
+                || node.drainExpired();
     }
 
     private void refuseOverload(Request request) {
--- a/src/main/java/deckfall/net/DispatchRule.java
+++ b/src/main/java/deckfall/net/DispatchRule.java
@@ -18,7 +18,9 @@
         BODY_SPENT,
         ATTEMPTS_USED,
         /** The client has closed its connection. */
-        CLIENT_GONE
+        CLIENT_GONE,
+        /** It is unknown whether the client has closed its connection, as much that it sent is not read yet. */
+        CLIENT_MAY_HAVE_LEFT
     }
 
     private DispatchRule() {}
@@ -40,6 +42,9 @@
         if (attempt >= maxAttempts) {
             return Verdict.ATTEMPTS_USED;
         }
-        return openRequest.clientGone() ? Verdict.CLIENT_GONE : Verdict.ALLOWED;
+        if (openRequest.clientGone()) {
+            return Verdict.CLIENT_GONE;
+        }
+        return openRequest.clientMayHaveLeft() ? Verdict.CLIENT_MAY_HAVE_LEFT : Verdict.ALLOWED;
     }
 }
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -765,8 +765,11 @@
      */
     private void reportAttempt(Attempt attempt, Outcome outcome, HttpResponse response) {
         tally.addAttempt(outcome);
-        if (outcome.neverRan() && attempt.started() && mustRunOnce(attempt)) {
-            sentRequests.forget(attempt.traceId());
+        if (outcome.neverRan()) {
+            attempt.markNeverRan();
+            if (attempt.started() && mustRunOnce(attempt)) {
+                sentRequests.forget(attempt.traceId());
+            }
         }
         OpenRequest openRequest = attempt.openRequest;
         openRequest.attemptsInFlight--;
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -58,6 +58,16 @@
         return closed;
     }
 
+    /** Whether a host may have run the request, or may yet. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    /** Whether it is unknown if the client still awaits a response. */
+    boolean clientMayHaveLeft() {
+        return client != null && client.mayHaveLeft();
+    }
+
     /** Whether the client still awaits a response, but has closed its connection by now. */
     boolean clientGone() {
         return client != null && client.closedByClient();
--- a/src/test/java/deckfall/net/RaceConditionTest.java
+++ b/src/test/java/deckfall/net/RaceConditionTest.java
@@ -464,6 +464,52 @@
         assertEquals(0, memoryUsed(node));
     }
 
+    /**
+     * Guards against a refusal of a booking that a host is running, as its client sent too much behind it: its retry
+     * would book twice. What comes behind is refused without being sent until all has been read.
+     */
+    @Test
+    void requestThatAHostIsRunningIsNotRefusedForWhatFollowsIt() throws Exception {
+        CountDownLatch paused = new CountDownLatch(1);
+        Server host = closeables.closeLater(new Server((m, s) -> {
+            if (m.header("X-Trace-Id").equals("first")) {
+                await(paused);
+            }
+            echo(m, s);
+        }));
+        Node node = node(DecisionModule::new, c -> c, hostEntry("h0", host.address(), "ready"));
+        String body = "b".repeat(60_000);
+        int count = 20;
+        Client c = client(node);
+        Thread sending = new Thread(() -> {
+            try {
+                c.send(orderRequest("first", "b"));
+                for (int i = 0; i < count; i++) {
+                    c.send(orderRequest("next" + i, body));
+                }
+            } catch (IOException e) {
+                // closed by the other side
+            }
+        });
+        sending.start();
+        assertEquals("first", host.nextRequest().header("X-Trace-Id"));
+        long readPauses = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
+        while (System.nanoTime() < readPauses) {
+            node.loop.submit(() -> {}).sync();
+        }
+        paused.countDown();
+        assertEquals("for first", c.receive().text());
+        int refused = 0;
+        for (int i = 0; i < count; i++) {
+            Message response = c.receive();
+            assertTrue(response.status() == 200 || response.status() == 503, "next" + i + ": " + response.status());
+            refused += response.status() == 503 ? 1 : 0;
+        }
+        sending.join();
+        assertEquals(1 + count - refused, host.requests.size()); // what was refused was not sent
+        assertEquals("for last", c.send(orderRequest("last", "b")).receive().text());
+    }
+
     /**
      * The event loop notices a close only after the task in which the module acts. An attempt that starts before that
      * would be sent for a client that has left.
