Do not cancel an attempt whose body was streamed and can't be sent again

Uploads of 32 MB to a sound host were cut off and answered 502 after a second or two: the decision module cancels an overdue attempt of a keyed class to try elsewhere, and counts its time from the first byte of the request, not the last; a body that was streamed can't be sent again, so that the cancel only ends the request. Class: a time counted from the wrong event. Such a cancel is now left out while a client waits.

--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -934,7 +934,9 @@
     @Override
     public void cancel(String id, int attempt) {
         OpenRequest openRequest = openRequests.get(id);
-        if (openRequest != null && attempt >= 0 && attempt < openRequest.attempts.size()) {
+        // The module cancels an attempt to try elsewhere, which a body that was streamed does not allow
+        boolean useless = openRequest != null && !openRequest.closed() && openRequest.message.streamed();
+        if (openRequest != null && !useless && attempt >= 0 && attempt < openRequest.attempts.size()) {
             abandonAttempt(openRequest.attempts.get(attempt), AbandonReason.CANCELLED);
         }
     }
