Read less ahead while no response is awaited

With turns, what a client sends of a body may wait undecoded; up to 512 KB of it on each connection were read on top of the body, and eight uploads of 5 MB made one of them give up with 413 (seen in BodyIntegrityTest before it landed). While no response is awaited 64 KB are read ahead; the larger bound stays for what follows a request, where a close has to be noticed. Reading from a host stops within a read only while much memory is held. More undecoded bytes than a head may have are rejected as a body (413), not as a head (431).

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -39,7 +39,7 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter
         implements StrictRequestDecoder.Receiver, MemoryBudget.Holder {
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024; // per connection; beyond this, reading is paused
-    private static final int RESUMED_READ_AHEAD_BYTES = MAX_READ_AHEAD_BYTES / 2; // below this, it is resumed
+    private static final int MAX_UNDECODED_BYTES = 64 * 1024; // the same while no response is awaited
     // The work of a turn, after which other connections have theirs: the memory of the heads that were processed, and
     // for
     // each request and each part of a body as much as that takes the time of
@@ -488,7 +488,7 @@
             recordReadPause(autoRead);
             channel.config().setAutoRead(autoRead);
         }
-        boolean mayHideClose = !autoRead && !closing && !(incoming != null && incoming.streamed());
+        boolean mayHideClose = !autoRead && !closing && !awaitsTurn && !(incoming != null && incoming.streamed());
         if (!mayHideClose && readPauseTimeout != null) {
             readPauseTimeout.cancel(false);
             readPauseTimeout = null;
@@ -498,9 +498,11 @@
         }
     }
 
-    /** The bound of what is read ahead: lower once reading is paused, so that it is not paused at each request. */
+    /** The bound of what is read ahead: half as much once reading is paused, so that it is not paused at each request. */
     private int maxReadAheadBytes() {
-        return channel.config().isAutoRead() ? MAX_READ_AHEAD_BYTES : RESUMED_READ_AHEAD_BYTES;
+        boolean awaitsResponse = busy && incoming == null;
+        int bound = awaitsResponse ? MAX_READ_AHEAD_BYTES : MAX_UNDECODED_BYTES;
+        return channel.config().isAutoRead() ? bound : bound / 2;
     }
 
     private void recordReadPause(boolean ends) {
@@ -892,7 +894,8 @@
         if (busy ? incoming == null : readAheadOfSmallRequest()) {
             return MemoryUse.READ_AHEAD;
         }
-        return busy ? MemoryUse.BODY : MemoryUse.HEAD;
+        boolean moreThanAHead = decoder.undecodedBytes() > MAX_DECODED_BYTES;
+        return busy || moreThanAHead ? MemoryUse.BODY : MemoryUse.HEAD;
     }
 
     /** Whether a complete request waits to be processed, and most of the memory is used for what follows it. */
--- a/src/main/java/deckfall/net/ResponseTransfer.java
+++ b/src/main/java/deckfall/net/ResponseTransfer.java
@@ -43,7 +43,9 @@
             client.writeContent(content);
             if (!client.writable()) {
                 client.flush(); // not only once the host's connection has been read: many short parts take much memory
-                source.setReading(client.writable());
+                if (node.memoryBudget.underPressure()) { // not only once all has been read that has come
+                    source.setReading(client.writable());
+                }
             }
         }
     }
