Read a connection to a host once more before it is reused

An idle connection is now read once more in the loop iteration that would reuse it; whatever has arrived, bytes or its end, discards it. A close by the host found so lowers the pool's idle limit as before. RaceConditionTest.copyThatArrivedWhileTheLoopWasHeldUpReachesNoOtherRequest fails without it. A copy that arrives after the next request has been written remains possible.

--- a/src/main/java/deckfall/net/HostClient.java
+++ b/src/main/java/deckfall/net/HostClient.java
@@ -283,7 +283,8 @@
 
     /**
      * The most recently used connection that has been idle for {@link #REUSE_DELAY_MS}, or null. A late duplicate of
-     * the previous response would be read as the response to the next request on the connection.
+     * the previous response would be read as the response to the next request on the connection. It may have arrived
+     * while the event loop was held up, so that the connection is read once more.
      */
     private HostConnection takeIdle(HostPool pool) {
         double now = node.clock.now();
@@ -294,10 +295,13 @@
                 continue;
             }
             lastFirst.remove();
-            if (connection.channel.isActive() && idleMs <= pool.idleLimitMs) {
+            if (idleMs <= pool.idleLimitMs && connection.nothingHasArrived()) {
                 connection.idleBeforeRequestMs = idleMs;
                 return connection;
             }
+            if (!connection.channel.isActive()) {
+                pool.lowerIdleLimit(idleMs); // closed by the host
+            }
             connection.channel.close();
         }
         return null;
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -79,6 +80,15 @@
         }
     }
 
+    /** Reads this idle connection once more. Returns whether nothing has arrived on it, neither bytes nor its end. */
+    boolean nothingHasArrived() {
+        if (channel.isActive()) {
+            ((AbstractNioChannel) channel).unsafe().read();
+        }
+        boolean unknown = channel instanceof RetryingSocketChannel retrying && retrying.readFailing();
+        return channel.isActive() && !unknown && !unexpectedData && !decoder.hasPartialMessage();
+    }
+
     /** The request was sent, or its write failed. Also called if the exchange has been abandoned. */
     private void onRequestWritten(Exchange sent, boolean success) {
         if (success && sent instanceof Attempt) {
--- a/src/test/java/deckfall/net/RaceConditionTest.java
+++ b/src/test/java/deckfall/net/RaceConditionTest.java
@@ -464,6 +464,38 @@
         assertEquals(0, memoryUsed(node));
     }
 
+    /**
+     * Guards against passing on a second copy of a response as the response to the next request: it arrived while the
+     * event loop was held up, after the connection had rested for long enough by the clock.
+     */
+    @Test
+    void copyThatArrivedWhileTheLoopWasHeldUpReachesNoOtherRequest() throws Exception {
+        CountDownLatch copyRequested = new CountDownLatch(1);
+        CountDownLatch copyWritten = new CountDownLatch(1);
+        Server host = closeables.closeLater(new Server((m, s) -> {
+            echo(m, s);
+            if (m.header("X-Trace-Id").equals("one")) {
+                await(copyRequested);
+                echo(m, s);
+                copyWritten.countDown();
+            }
+        }));
+        Node node = node(
+                act -> new ScriptedModule((now, r) -> {
+                    if (r.id().equals("two")) {
+                        copyRequested.countDown();
+                        await(copyWritten);
+                        clock.offsetMs += 100;
+                    }
+                    act.send(r.id(), "h0", 0);
+                }),
+                c -> c,
+                hostEntry("h0", host.address(), "ready"));
+        Client c = client(node).send(orderRequest("one", "b"));
+        assertEquals("for one", c.receive().text());
+        assertEquals("for two", c.send(orderRequest("two", "b")).receive().text());
+    }
+
     /**
      * Guards against a refusal of a booking that a host is running, as its client sent too much behind it: its retry
      * would book twice. What comes behind is refused without being sent until all has been read.
