Tests: stop the clock in the test of a copy that arrived while the loop was held up

With the clock stopped it fails without the fix ('expected: <for two> but was: <for one>') and passes with it.

--- a/src/test/java/deckfall/net/RaceConditionTest.java
+++ b/src/test/java/deckfall/net/RaceConditionTest.java
@@ -470,6 +470,7 @@
      */
     @Test
     void copyThatArrivedWhileTheLoopWasHeldUpReachesNoOtherRequest() throws Exception {
+        clock.frozen = true;
         CountDownLatch copyRequested = new CountDownLatch(1);
         CountDownLatch copyWritten = new CountDownLatch(1);
         Server host = closeables.closeLater(new Server((m, s) -> {
