--- a/src/main/java/deckfall/Main.java
+++ b/src/main/java/deckfall/Main.java
@@ -29,7 +29,7 @@
         }
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
-            case "serve" -> deckfall.net.Node.main(System.getenv("NODE_CONFIG"));
+            case "serve" -> deckfall.net.NodeProcess.run(System.getenv("NODE_CONFIG"));
             case "rehearse" -> deckfall.net.WarmUp.run();
             case "wirehost" -> deckfall.wire.Main.main(args);
             default -> {
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -74,13 +74,12 @@
     private final Node node;
     private final RetryingSocketChannel channel;
     private final MemoryBudget.Account account; // of what was received and is not admitted
-    private final MemoryBudget.Account unsentAccount; // of responses that the client has not taken
+    private final UnsentResponses unsentResponses;
     private final StrictRequestDecoder decoder;
     private final ArrayDeque<QueuedMessage> queue = new ArrayDeque<>();
     private final UnreadBytes unreadBytes = new UnreadBytes();
     private CloseReason closeReason; // null until this side decides to close
     private int queuedBytes;
-    private boolean awaitsSent; // what is unsent will be counted again when it has been sent
     private Future<?> readPauseTimeout; // ends a read pause, in which a close by the client is not noticed
     private boolean mayHaveLeft; // reading is paused for so long that the client may have left unnoticed
     private boolean closeAfterTransfer; // the connection is closed after the response that is being streamed
@@ -110,7 +109,8 @@
         this.node = node;
         this.channel = channel;
         this.account = node.memoryBudget.openAccount(this);
-        this.unsentAccount = node.memoryBudget.openAccount(this::giveUpUnsent);
+        this.unsentResponses = new UnsentResponses(
+                channel, node.memoryBudget.openAccount(this::giveUpUnsent), () -> executeLater(this::afterAllSent));
         this.decoder = new StrictRequestDecoder(this, account);
     }
 
@@ -168,7 +168,7 @@
             if (now - lastUsedMs > DISCARD_TIMEOUT_MS) {
                 close(gaveUp ? CloseReason.MEMORY : CloseReason.SLOW);
             }
-        } else if (!busy && unsentAccount.bytes() > 0 && now - lastUsedMs > RESPONSE_STALL_TIMEOUT_MS) {
+        } else if (!busy && unsentResponses.countedBytes() > 0 && now - lastUsedMs > RESPONSE_STALL_TIMEOUT_MS) {
             reset(CloseReason.SLOW);
         } else if (incoming != null) {
             double elapsedMs = now - incoming.startedMs - incoming.readPauseMs();
@@ -242,7 +242,7 @@
             incoming = null;
         }
         account.close();
-        unsentAccount.close();
+        unsentResponses.close();
     }
 
     @Override
@@ -731,23 +731,11 @@
 
     void flush() {
         channel.flush();
-        countUnsent();
+        unsentResponses.count();
     }
 
-    /** Counts what the client has not taken of its responses, and again once it has. */
-    private void countUnsent() {
-        long unsent = channel.unsentBytes();
-        unsentAccount.change(unsent - unsentAccount.bytes());
-        if (unsent > 0 && !awaitsSent) {
-            awaitsSent = true;
-            // Not at once, as the channel still counts a write while it calls its listeners
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> executeLater(this::countUnsentAgain));
-        }
-    }
-
-    private void countUnsentAgain() {
-        awaitsSent = false;
-        countUnsent();
+    private void afterAllSent() {
+        unsentResponses.countAgain();
         if (transfer != null) {
             transfer.clientWritable();
         }
@@ -764,7 +752,7 @@
         transfer = null;
         ChannelFuture lastWrite = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         lastWrite.addListener(listener);
-        countUnsent();
+        unsentResponses.count();
         responseWritten(lastWrite);
     }
 
--- a/src/main/java/deckfall/net/Node.java
+++ b/src/main/java/deckfall/net/Node.java
@@ -19,8 +19,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.spi.SelectorProvider;
@@ -36,12 +34,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import java.util.stream.Collectors;
 
 /**
@@ -134,81 +128,8 @@
         return heapBytes / HELD_HEAP_DIVISOR;
     }
 
-    /**
-     * Serves until SIGTERM. An invalid configuration or an address that cannot be bound ends the process with one line
-     * on standard error.
-     */
-    public static void main(String configFile) {
-        ReloadSignal reloadSignal = ReloadSignal.install();
-        AtomicReference<Node> started = new AtomicReference<>();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(started.get())));
-        configureLogging();
-        StartupTimes startupTimes = new StartupTimes(new Clock());
-        try {
-            NodeConfig config = readConfig(configFile);
-            startupTimes.phaseEnded("configuration");
-            ServerSocketChannel inherited = InheritedListener.fromEnvironment();
-            Node node = StartupRetry.withRetries("event loop not created", () -> new Node(config));
-            node.setConfigFile(Path.of(configFile));
-            if (config.operator() != null) { // readiness checks fail until clients are accepted
-                StartupRetry.withRetries("operator's address not opened", () -> startOperator(config, node));
-            }
-            if (inherited != null && System.getenv("TMPDIR") != null) {
-                node.watchSiblings(Path.of(System.getenv("TMPDIR")));
-            }
-            startupTimes.phaseEnded("operator and siblings");
-            int warmUpRequests = WarmUp.warmUp(config, inherited == null && config.wasInService());
-            startupTimes.phaseEnded("warm-up");
-            node.readSiblingCustomers();
-            node.group.terminationFuture().addListener(f -> haltWithoutEventLoop());
-            started.set(node);
-            node.start(inherited, startupTimes);
-            log("serving on " + config.listen() + " after " + warmUpRequests + " rehearsed requests");
-            log(startupTimes.summary());
-            node.serving = true;
-            reloadSignal.setAction(node::reload);
-        } catch (NodeConfig.InvalidConfigException | IOException | RuntimeException e) {
-            System.err.println("deckfall: " + e.getMessage());
-            Runtime.getRuntime().halt(1);
-        }
-    }
-
-    /** Handles SIGTERM: a node that does not serve yet has no requests to finish, and the process ends at once. */
-    private static void shutDown(Node node) {
-        if (node == null) {
-            Runtime.getRuntime().halt(0);
-        } else {
-            node.drainAndHalt();
-        }
-    }
-
-    /** Without its event loop the process could only hold connections. The platform starts another one. */
-    private static void haltWithoutEventLoop() {
-        ErrorReport.contain("end of the event loop", () -> log("defect: the event loop has ended"))
-                .run();
-        Runtime.getRuntime().halt(1);
-    }
-
-    private static OperatorServer startOperator(NodeConfig config, Node node) throws IOException {
-        OperatorServer operator = new OperatorServer(config.operator(), node.operatorCommands());
-        operator.start();
-        return operator;
-    }
-
-    /** Reads the configuration. A file that cannot be read for the moment is retried for a while. */
-    private static NodeConfig readConfig(String file) throws NodeConfig.InvalidConfigException, IOException {
-        try {
-            return NodeConfig.read(file);
-        } catch (NodeConfig.InvalidConfigException e) {
-            if (!e.isTransient()) {
-                throw e;
-            }
-            return StartupRetry.withRetries("configuration not read", () -> NodeConfig.read(file));
-        }
-    }
-
     /** Reloads the configuration file. Thread-safe. */
-    private void reload() {
+    void reload() {
         reloader.reload();
     }
 
@@ -240,6 +161,11 @@
         }
     }
 
+    /** Records that clients are served from now on. */
+    void markServing() {
+        serving = true;
+    }
+
     /** Starts the node. Returns once it serves clients at the configured address. */
     void start() throws IOException {
         start(null, new StartupTimes(clock));
@@ -247,7 +173,7 @@
     }
 
     /** Starts the node. Returns once it accepts clients, on the inherited listener if there is one. */
-    private void start(ServerSocketChannel inherited, StartupTimes startupTimes) throws IOException {
+    void start(ServerSocketChannel inherited, StartupTimes startupTimes) throws IOException {
         try {
             loop.submit(() -> {
                         deliver((now, m) -> m.start(now, config.settings()));
@@ -283,35 +209,6 @@
         return terminating ? loop.newSucceededFuture(null) : clientServer.start(inherited);
     }
 
-    /**
-     * Logs each warning of Netty as one line. The JDK's default handler reads the time zone file for its first line. If
-     * that line reports that no descriptor is left, the read fails and ends the event loop.
-     */
-    static void configureLogging() {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        Logger root = Logger.getLogger("");
-        for (Handler h : root.getHandlers()) {
-            root.removeHandler(h);
-        }
-        root.addHandler(new Handler() {
-            @Override
-            public void publish(LogRecord record) {
-                try {
-                    log(record.getLevel() + " " + record.getMessage()
-                            + (record.getThrown() == null ? "" : " " + record.getThrown()));
-                } catch (Error e) { // an error thrown here would end the event loop
-                    ErrorReport.report("a warning of Netty was not logged", e);
-                }
-            }
-
-            @Override
-            public void flush() {}
-
-            @Override
-            public void close() {}
-        });
-    }
-
     /**
      * Runs the action on the event loop, at once if called there. Netty reports a connect for which no descriptor was
      * left on another thread, where no code of this node may run.
@@ -455,7 +352,7 @@
      * Reads the customer state of a serving sibling. It is split between the processes as soon as this one serves as
      * well.
      */
-    private void readSiblingCustomers() {
+    void readSiblingCustomers() {
         if (siblingWatch != null) {
             sentRequests.findSiblingFiles();
             restoredCustomers = siblingWatch.customersOfServingSibling();
@@ -995,7 +892,8 @@
 
     // ---- shutdown
 
-    private void drainAndHalt() {
+    /** Drains the node and ends the process. */
+    void drainAndHalt() {
         log("ending: no new clients, " + metrics.openRequests() + " requests open");
         loop.execute(this::drain);
         try {
--- a/src/main/java/deckfall/net/WarmUp.java
+++ b/src/main/java/deckfall/net/WarmUp.java
@@ -50,7 +50,7 @@
 
     /** Runs a warm-up for the build. Returns when it is complete. */
     public static void run() throws IOException {
-        Node.configureLogging();
+        NodeProcess.configureLogging();
         InetSocketAddress socketAddress = freePort(InetAddress.getLoopbackAddress());
         String address = socketAddress.getAddress().getHostAddress() + ':' + socketAddress.getPort();
         sendRequests(NodeConfig.of(new ObjectMapper().readTree(CONFIG_TEMPLATE.formatted(address))), MAX_DURATION_MS);
