--- a/src/main/java/deckfall/net/ClientServer.java
+++ b/src/main/java/deckfall/net/ClientServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -69,12 +70,12 @@
                         sharesListener ? new RetryingServerSocketChannel(inherited) : new RetryingServerSocketChannel())
                 .handler(acceptRetry)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.SO_RCVBUF, UnreadBytes.RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readBufferAllocator(MAX_READS_PER_ITERATION))
                 .childHandler(new ChannelInitializer<RetryingSocketChannel>() {
                     @Override
                     protected void initChannel(RetryingSocketChannel ch) {
+                        boundReceiveBuffer(ch);
                         ClientConnection connection = new ClientConnection(ClientServer.this, node, ch);
                         ch.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
                     }
@@ -95,6 +96,14 @@
         return bindFuture;
     }
 
+    private static void boundReceiveBuffer(RetryingSocketChannel channel) {
+        try {
+            channel.config().setReceiveBufferSize(UnreadBytes.RECEIVE_BUFFER_BYTES);
+        } catch (ChannelException e) {
+            // the connection works with the system's size as well
+        }
+    }
+
     /** Whether other processes may serve clients of the same listener. */
     boolean sharesListener() {
         return sharesListener;
