--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -40,14 +40,13 @@
         implements StrictRequestDecoder.Receiver, MemoryBudget.Holder {
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024; // per connection; beyond this, reading is paused
     private static final int MAX_UNDECODED_BYTES = 64 * 1024; // the same while no response is awaited
-    // The work of a turn, after which other connections have theirs: the memory of the heads that were processed, and
-    // for
-    // each request and each part of a body as much as that takes the time of
+    // After this much work other connections have their turn. The unit is the time that a byte of a head takes, by the
+    // memory that its fields need
     private static final int MAX_WORK_PER_TURN = 32 * 1024;
-    private static final int REQUEST_WORK = 2 * 1024;
+    private static final int REQUEST_WORK = 2 * 1024; // of a request, in addition to its head
+    private static final int CONTENT_WORK = 512; // of a part of a body
     private static final int MAX_IMMEDIATE_BYTES = 4 * 1024; // an ordinary request is processed when it has been read
     private static final int MAX_UNSENT_BYTES_UNDER_PRESSURE = 4 * 1024; // of a response, while much memory is held
-    private static final int CONTENT_WORK = 512;
     private static final int MAX_READS_FOR_CLOSE = 8; // to find a close by the client behind what it has sent
     private static final int MAX_UNSENT_WRITES = 512; // with more, no request is processed until some are sent
     private static final int MAX_IMPROPER_REQUESTS = 8; // a connection is closed with the response to the last one
@@ -352,7 +351,7 @@
     }
 
     /**
-     * Processes what has been read, up to a number of requests, so that a client that sends many at once does not hold up
+     * Processes what has been read, up to the work of a turn, so that a client that sends much at once does not hold up
      * others.
      */
     void processRead() {
