Buffer a long response for 0.1 s, and longer while more requests follow it

It is now buffered for 100 ms, and as long as before where its client has sent more requests. SlowResponseTest: the requests behind are answered (lost on the state before), and the first byte still comes long before 64 KiB have come.

--- a/src/main/java/deckfall/net/Attempt.java
+++ b/src/main/java/deckfall/net/Attempt.java
@@ -51,6 +51,11 @@
         node.beforeWrite(this);
     }
 
+    @Override
+    boolean passesOnEarly() {
+        return !openRequest.closed() && !openRequest.moreRequestsFollow();
+    }
+
     @Override
     IncomingRequest requestBody() {
         return openRequest.message;
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -812,7 +812,7 @@
     /**
      * Whether a part of a further request has been read already, which would get no response if this one were the last.
      */
-    private boolean hasReadAhead() {
+    boolean hasReadAhead() {
         readNow();
         return !queue.isEmpty() || decoder.hasPartialMessage();
     }
--- a/src/main/java/deckfall/net/Exchange.java
+++ b/src/main/java/deckfall/net/Exchange.java
@@ -35,6 +35,14 @@
         return connection != null && connection.passOnResponse();
     }
 
+    /**
+     * Whether a long response is passed on although it need not be yet. Not if its client has sent further requests, which
+     * would be lost with the connection if the response broke off.
+     */
+    boolean passesOnEarly() {
+        return false;
+    }
+
     /** How much of the response has been received, for the log; null if nothing has. */
     final String responseProgress() {
         return connection == null ? null : connection.responseProgress();
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
 
 /** One connection to a host. */
 final class HostConnection extends ChannelInboundHandlerAdapter
@@ -230,8 +231,11 @@
             responseHead = interim ? null : response;
             if (interim) {
                 releaseFields(response.headers());
-            } else if (ResponseStreamingPolicy.streamsFromHead(declaredBytes())) {
-                startTransfer();
+            } else if (ResponseStreamingPolicy.isLong(declaredBytes())) {
+                node.loop.schedule(
+                        ErrorReport.contain("response not passed on", () -> passOnSlowResponse(response)),
+                        ResponseStreamingPolicy.MAX_BUFFERING_MS,
+                        TimeUnit.MILLISECONDS);
             }
         }
         if (object instanceof HttpContent content && responseHead != null) {
@@ -354,6 +358,13 @@
         return true;
     }
 
+    /** Starts to stream a long response that has been on its way for a while, unless its client has sent more requests. */
+    private void passOnSlowResponse(HttpResponse head) {
+        if (responseHead == head && exchange != null && exchange.passesOnEarly()) {
+            passOnResponse();
+        }
+    }
+
     private long declaredBytes() {
         return HttpUtil.getContentLength(responseHead, ResponseStreamingPolicy.UNKNOWN_LENGTH);
     }
--- a/src/main/java/deckfall/net/OpenRequest.java
+++ b/src/main/java/deckfall/net/OpenRequest.java
@@ -68,6 +68,11 @@
         return client != null && client.mayHaveLeft();
     }
 
+    /** Whether the client has sent further requests on the same connection. */
+    boolean moreRequestsFollow() {
+        return client != null && client.hasReadAhead();
+    }
+
     /** Whether the client still awaits a response, but has closed its connection by now. */
     boolean clientGone() {
         return client != null && client.closedByClient();
--- a/src/main/java/deckfall/net/ResponseStreamingPolicy.java
+++ b/src/main/java/deckfall/net/ResponseStreamingPolicy.java
@@ -11,6 +11,8 @@
 final class ResponseStreamingPolicy {
     static final int MAX_BUFFERED_BYTES = 64 * 1024; // of a response; a longer one is streamed
     static final long UNKNOWN_LENGTH = -1;
+    /** How long a long response is buffered at most; one that breaks off before that can be tried again. */
+    static final long MAX_BUFFERING_MS = 100;
     /** How long neither the host sends a byte nor the client takes one, until a long response is given up. */
     static final double STALL_TIMEOUT_MS = 20_000;
 
@@ -21,8 +23,8 @@
 
     private ResponseStreamingPolicy() {}
 
-    /** Whether the head alone shows that the response is long, so that it is streamed from its first byte on. */
-    static boolean streamsFromHead(long declaredBytes) {
+    /** Whether a response of this length is timed by its first byte. */
+    static boolean isLong(long declaredBytes) {
         return declaredBytes > MAX_BUFFERED_BYTES;
     }
 
@@ -32,7 +34,7 @@
      */
     static boolean passesOn(long declaredBytes, int receivedBytes, double sinceHeadMs) {
         if (declaredBytes != UNKNOWN_LENGTH) {
-            return streamsFromHead(declaredBytes);
+            return isLong(declaredBytes);
         }
         return receivedBytes == 0
                 || receivedBytes >= STUCK_RESPONSE_BYTES
@@ -41,6 +43,6 @@
 
     /** How long the host of a streamed response may send nothing, if its client takes all that comes. */
     static double stallTimeoutMs(long declaredBytes, long receivedBytes) {
-        return streamsFromHead(Math.max(declaredBytes, receivedBytes)) ? STALL_TIMEOUT_MS : SHORT_STALL_TIMEOUT_MS;
+        return isLong(Math.max(declaredBytes, receivedBytes)) ? STALL_TIMEOUT_MS : SHORT_STALL_TIMEOUT_MS;
     }
 }
--- a/src/test/java/deckfall/net/SlowResponseTest.java
+++ b/src/test/java/deckfall/net/SlowResponseTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -148,6 +149,38 @@
         }
     }
 
+    /** A long response is timed by its first byte, which is not held back until 64 KiB have come. */
+    @Test
+    void longResponseIsPassedOnBeforeItsClientsTimeIsUp() throws Exception {
+        Server host = slowHost(LENGTH_FIELDS.get(0), FIRST_BYTES);
+        Client c = client(node(module(1), host.address())).send(closingRequest(TIMEOUT_MS));
+        assertWhole(receive(c), "early");
+    }
+
+    /** Guards against losing the requests behind one whose long response breaks off: it can still be tried again. */
+    @Test
+    void requestsBehindAResponseThatBreaksOffAreAnswered() throws Exception {
+        AtomicInteger broken = new AtomicInteger();
+        Server host = closeables.closeLater(new Server((m, s) -> {
+            if (m.header("X-Trace-Id").equals("first") && broken.getAndIncrement() == 0) {
+                s.getOutputStream()
+                        .write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
+                                + "x".repeat(FIRST_BYTES)));
+                s.setSoLinger(true, 0);
+                s.close();
+                return;
+            }
+            s.getOutputStream().write(TestEndpoints.okResponse("for " + m.header("X-Trace-Id")));
+        }));
+        DiscoveryServer discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h0", host.address(), "ready"))));
+        Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"));
+        closeables.push(node::stop);
+        Client c = client(node).send(viewRequest("first", TIMEOUT_MS) + viewRequest("second", TIMEOUT_MS));
+        assertEquals("for first", c.receive().text());
+        assertEquals("for second", c.receive().text());
+    }
+
     /** Guards against cutting off a response because the decision module wants to try elsewhere. */
     @Test
     void longResponseIsPassedOnWhenItsAttemptIsCancelled() throws Exception {
