Do not end a connection for a read pause that has been dealt with

While a paused connection works off what was read ahead, refusing each request as its client may have left, the timer of the pause fired again and ended it between two requests: the requests behind lost their answers. The timer now leaves a connection alone while its client may have left: nothing is sent to a host for it anyway.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -529,7 +529,7 @@
         if (readPauseTimeout == null) {
             return;
         }
-        if (transfer != null || openRequest != null && openRequest.mayHaveRun()) {
+        if (mayHaveLeft || transfer != null || openRequest != null && openRequest.mayHaveRun()) {
             mayHaveLeft = true; // its response is still awaited, but nothing more is sent to a host for this client
         } else {
             respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE);
