--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -1,11 +1,15 @@
 import java.io.BufferedInputStream;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.File;
 import java.io.FileDescriptor;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
 import java.lang.reflect.Method;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -43,6 +47,7 @@
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     private final List<Gateway> gateways = new ArrayList<>();
     private final List<Process> others = new ArrayList<>();
+    private final List<ProcessHandle> heirs = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong();
     private final String runTag = Long.toHexString(System.nanoTime() & 0xffffffffffL);
 
@@ -88,6 +93,7 @@
                 g.process.destroyForcibly();
             }
             others.forEach(Process::destroyForcibly);
+            heirs.forEach(ProcessHandle::destroyForcibly);
         }
     }
 
@@ -302,6 +308,95 @@
         return g;
     }
 
+    /**
+     * A listening socket that a helper process holds, as the platform does on days with an upgrade. Each gateway that is
+     * started inherits it as descriptor 0.
+     */
+    final class SharedListener {
+        private static final String HOLDER = "use Socket; $| = 1; $SIG{CHLD} = 'IGNORE';"
+                + " socket(L, PF_INET, SOCK_STREAM, 0) && setsockopt(L, SOL_SOCKET, SO_REUSEADDR, 1)"
+                + " && bind(L, sockaddr_in(0, INADDR_LOOPBACK)) && listen(L, 512) or die;"
+                + " print +(sockaddr_in(getsockname(L)))[0], \"\\n\";"
+                + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
+                + " if (!$pid) { my ($log, @v) = split /\\t/, $line;"
+                + " for (@v) { my ($n, $x) = split /=/, $_, 2; $ENV{$n} = $x; }"
+                + " open(STDIN, '<&L') or die; open(STDOUT, '>', '/dev/null') or die;"
+                + " open(STDERR, '>>', $log) or die; exec '/bin/sh', '-c', $ARGV[0]; }"
+                + " print \"$pid\\n\"; }";
+        final int port;
+        private final BufferedReader out;
+        private final Writer in;
+        private final Path home;
+        private final Path tmp;
+        private int started;
+
+        SharedListener() throws IOException {
+            Process holder = new ProcessBuilder("perl", "-e", HOLDER, runCommand()).start();
+            own(holder);
+            out = new BufferedReader(new InputStreamReader(holder.getInputStream()));
+            in = new OutputStreamWriter(holder.getOutputStream());
+            String line = out.readLine();
+            if (line == null) {
+                throw new IOException("no perl for the process that holds the listening socket");
+            }
+            port = Integer.parseInt(line);
+            home = Files.createTempDirectory(temp, "shared-");
+            tmp = Files.createDirectory(home.resolve("tmp"));
+        }
+
+        /** Starts one more process of the gateway, and waits until its operator's address says yes. */
+        Heir start(Discovery discovery, Counter counter, Settings s) throws Exception {
+            int operatorPort = freePort();
+            started++;
+            Path config = home.resolve("config-" + started + ".json");
+            Files.writeString(
+                    config, configJson("n0", port, operatorPort, discovery.port, counter.port, s, 0, discovery.json(true)));
+            Path log = home.resolve("log-" + started);
+            in.write(String.join(
+                            "\t",
+                            log.toString(),
+                            "NODE_NAME=n0",
+                            "NODE_LISTEN=127.0.0.1:" + port,
+                            "NODE_LISTEN_FD=0",
+                            "NODE_DISCOVERY=127.0.0.1:" + discovery.port,
+                            "NODE_OPERATOR=127.0.0.1:" + operatorPort,
+                            "NODE_CONFIG=" + config,
+                            "TMPDIR=" + tmp)
+                    + "\n");
+            in.flush();
+            long pid = Long.parseLong(out.readLine());
+            Heir heir = new Heir(ProcessHandle.of(pid).orElseThrow(), operatorPort, log);
+            synchronized (gateways) {
+                heirs.add(heir.handle());
+            }
+            note("started process " + pid + " of n0 on port " + port);
+            for (double end = ms() + 30_000; ms() < end; sleep(20)) {
+                if ("ACK".equals(heir.call("health"))) {
+                    note("process " + pid + " says yes");
+                    return heir;
+                }
+            }
+            throw new IOException("process " + pid + " not ready in 30 s: " + Files.readString(log));
+        }
+    }
+
+    /** A gateway process that inherited its listening socket. */
+    record Heir(ProcessHandle handle, int operatorPort, Path log) {
+        String call(String command) {
+            try (Conn c = new Conn(operatorPort)) {
+                c.socket.setSoTimeout(1000);
+                c.send(command + "\n");
+                return c.readLine();
+            } catch (IOException e) {
+                return null;
+            }
+        }
+
+        void signal(String name) throws Exception {
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + handle.pid()).start().waitFor();
+        }
+    }
+
     void awaitReady(Gateway g) throws Exception {
         double end = ms() + 30_000;
         while (ms() < end) {
