review: number the new cases by gravity

Cause: the cases were numbered in the order in which they were found.

Scripts and checks are the same.

--- a/review/standins-2/Case6.java
+++ b/review/standins-2/Case6.java
@@ -1,48 +1,42 @@
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.zip.GZIPOutputStream;
 
-/** Peers send request targets that are not of the protocol's form. No seat server may get such a request. */
+/** Some answers of seat servers can't be read as the protocol describes. None of them may reach a client as served. */
 public final class Case6 {
-    private static final int ROUNDS = 10;
-
-    private static final String CUSTOMER = "X-Customer: 00000000b4d65521";
-
-    /** What one peer sends: the method, the target that is not proper, and the proper one in its place. */
-    private record Form(String method, String target, String proper, String customer) {
-        Form(String method, String target, String proper) {
-            this(method, target, proper, CUSTOMER);
-        }
-    }
-
-    private static final List<Form> FORMS = List.of(
-            // the target has no path: what looks like one is a part of its query
-            new Form("POST", "http://backend.local?next=/seat-booking/17", "/seat-booking/17"),
-            new Form("GET", "http://backend.local?next=/seat-lookup/17", "/seat-lookup/17"),
-            // neither a path nor an absolute target
-            new Form("POST", "xseat-booking/17", "/seat-booking/17"),
-            new Form("GET", "xseat-lookup/17", "/seat-lookup/17"),
-            // bytes that a path can't have, and that do not reach the seat server as they were sent
-            new Form("GET", "/seat-lookup/Taup\u00c5\u008d", "/seat-lookup/Taup%C5%8D"),
-            // not 16 hex digits
-            new Form("POST", "/seat-booking/17", "/seat-booking/17", "X-Customer: +0000000b4d65521"));
+    private static final int REQUESTS = 60;
+    private static final int SPOILT_EVERY = 5; // one answer in five is spoilt
 
     public static void main(String[] args) throws Exception {
         Rig.main(args, Case6::run);
     }
 
     private static int run(Rig rig) throws Exception {
-        Map<String, String> runs = new ConcurrentHashMap<>(); // what ran, by id
+        Map<String, List<String>> whole = new ConcurrentHashMap<>(); // the bodies of proper 200 answers, by id
+        Map<String, String> spoilt = new ConcurrentHashMap<>(); // the form of the spoilt answer, by id
+        Map<String, Integer> toSpoil = new ConcurrentHashMap<>();
         Rig.Discovery discovery = new Rig.Discovery();
         for (int i = 0; i < 4; i++) {
             Rig.SeatServer server = new Rig.SeatServer("s-" + i, 0, (s, c, m) -> {
-                String body = new String(c.readBody(m, false).body);
-                String what = m.startLine + ", body '" + body + "', at " + s.id;
-                rig.note("run    " + m.id() + "  " + what);
-                runs.merge(String.valueOf(m.id()), what, (a, b) -> a + " AND " + b);
-                Rig.answer(c, 200, "", ("done " + m.id()).getBytes());
+                c.readBody(m, false);
+                String text = "seats 11, 12, 13 and 14 for " + m.id();
+                Integer form = toSpoil.remove(m.id()); // the first attempt only
+                if (form == null) {
+                    rig.note("run    " + m.id() + "  at " + s.id + ", answered properly");
+                    whole.computeIfAbsent(m.id(), k -> new ArrayList<>()).add(text);
+                    c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(text.length()) + "\r\n" + text + "\r\n0\r\n\r\n");
+                    return;
+                }
+                spoilt.put(m.id(), send(c, form, text));
+                rig.note("run    " + m.id() + "  at " + s.id + ", spoilt answer: " + spoilt.get(m.id()));
             });
             discovery.set(server.id, server.port, "ready", 0);
         }
@@ -55,46 +49,65 @@
         }
         int broken = 0;
         int unserved = 0;
-        for (int round = 0; round < ROUNDS; round++) {
-            Rig.Gateway gateway = gateways.get(round % 2);
-            for (Form form : FORMS) {
-                String id = rig.newId();
-                if (rig.trouble) {
-                    int status = send(rig, gateway, id, form.method(), form.target(), form.customer());
-                    if (runs.containsKey(id) || status == 200) {
-                        broken++;
-                        rig.note("BROKEN " + id + "  " + form.method() + " " + form.target() + " with " + form.customer()
-                                + " was answered " + status + "; run: "
-                                + runs.get(id));
-                    }
+        for (int i = 0; i < REQUESTS; i++) {
+            String id = rig.newId();
+            boolean spoil = rig.trouble && i % SPOILT_EVERY == SPOILT_EVERY - 1;
+            if (spoil) {
+                toSpoil.put(id, i / SPOILT_EVERY);
+            }
+            boolean lookup = i % 4 != 0;
+            rig.note("sent   " + id + "  " + (lookup ? "GET /seat-lookup/7" : "POST /seat-booking/7"));
+            try (Rig.Conn c = new Rig.Conn(gateways.get(i % 2).port)) {
+                c.socket.setSoTimeout(4000);
+                c.send(
+                        lookup
+                                ? Rig.head("GET", "/seat-lookup/7", id, 2500, "")
+                                : Rig.head("POST", "/seat-booking/7", id, 3000, "Content-Length: 0\r\n"));
+                Rig.Message answer = c.readMessage(true);
+                String body = new String(answer.body, StandardCharsets.ISO_8859_1);
+                rig.note("answer " + id + "  " + answer.status() + " '" + body.replaceAll("[^ -~]", "?") + "' "
+                        + answer.headers.keySet());
+                if (answer.status() == 200 && !whole.getOrDefault(id, List.of()).contains(body)) {
+                    broken++;
+                    rig.note("BROKEN " + id + "  served with a body that no proper answer had; spoilt answer: "
+                            + spoilt.get(id));
                 }
-                String properId = rig.newId();
-                int status = send(rig, gateway, properId, form.method(), form.proper(), CUSTOMER);
-                if (status != 200 || !runs.containsKey(properId)) {
+                if (answer.status() != 200 && !spoil) {
                     unserved++;
                 }
+            } catch (IOException e) {
+                rig.note("answer " + id + "  none: " + e);
+                unserved += spoil ? 0 : 1;
             }
         }
-        rig.note(broken + " requests that were not proper were run or answered as served; " + unserved + " of "
-                + ROUNDS * FORMS.size() + " proper requests were not served");
+        rig.note(broken + " of " + spoilt.size() + " requests with a spoilt answer were served with it; " + unserved
+                + " requests without one were not served");
         return broken > 0 ? Rig.BROKEN : unserved > 0 ? Rig.NOT_RUN : Rig.HELD;
     }
 
-    /** Sends one request on a connection of its own. Returns the status, 0 for a close without an answer. */
-    private static int send(
-            Rig rig, Rig.Gateway gateway, String id, String method, String target, String customer) throws Exception {
-        String body = method.equals("POST") ? "two seats" : "";
-        String length = method.equals("POST") ? "Content-Length: " + body.length() + "\r\n" : "";
-        rig.note("sent   " + id + "  " + method + " " + target + " with " + customer);
-        try (Rig.Conn c = new Rig.Conn(gateway.port)) {
-            c.socket.setSoTimeout(3500);
-            c.send(Rig.head(method, target, id, 2000, length).replace(CUSTOMER, customer) + body);
-            Rig.Message answer = c.readMessage(true);
-            rig.note("answer " + id + "  " + answer.status() + " '" + new String(answer.body) + "'");
-            return answer.status();
-        } catch (IOException e) {
-            rig.note("answer " + id + "  none: " + e);
-            return 0;
+    /** Sends a spoilt answer and returns what is wrong with it. */
+    private static String send(Rig.Conn c, int form, String text) throws IOException {
+        ByteArrayOutputStream coded = new ByteArrayOutputStream();
+        try (GZIPOutputStream gzip = new GZIPOutputStream(coded)) {
+            gzip.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+        String zipped = coded.toString(StandardCharsets.ISO_8859_1);
+        switch (form % 4) {
+            case 0:
+                c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                        + Integer.toHexString(zipped.length()) + "\r\n" + zipped + "\r\n0\r\n\r\n");
+                return "in another transfer coding than chunked";
+            case 1:
+                c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n" + text + "\r\n0\r\n\r\n");
+                return "a chunk longer than its size";
+            case 2:
+                c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: " + zipped.length() + "\r\n\r\n"
+                        + zipped);
+                return "in another transfer coding than chunked, with a length";
+            default:
+                c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100000008\r\n" + text.substring(0, 8)
+                        + "\r\n0\r\n\r\n");
+                return "a chunk of 4 GiB and 8 bytes that never ends";
         }
     }
 }
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -1,33 +1,44 @@
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Peers send chunked bodies that are not framed properly. Nothing of what they send may be run or served. */
+/** Peers send request targets that are not of the protocol's form. No seat server may get such a request. */
 public final class Case7 {
-    private static final int ROUNDS = 6;
+    private static final int ROUNDS = 10;
 
-    /** A body that is not framed properly; {@code INNER} stands for a request inside the data of a chunk. */
-    private record Form(String name, String body) {}
+    private static final String CUSTOMER = "X-Customer: 00000000b4d65521";
+
+    /** What one peer sends: the method, the target that is not proper, and the proper one in its place. */
+    private record Form(String method, String target, String proper, String customer) {
+        Form(String method, String target, String proper) {
+            this(method, target, proper, CUSTOMER);
+        }
+    }
 
     private static final List<Form> FORMS = List.of(
-            // a chunk of 4 GiB and 5 bytes, of which the peer sends some: all of it is data
-            new Form("chunk of 4 GiB", "100000005\r\nhello\r\n0\r\n\r\nINNER"),
-            new Form("chunk longer than its size", "5\r\nhello and more\r\n0\r\n\r\n"),
-            new Form("chunk size with other text behind it", "5 bytes\r\nhello\r\n0\r\n\r\n"));
+            // the target has no path: what looks like one is a part of its query
+            new Form("POST", "http://backend.local?next=/seat-booking/17", "/seat-booking/17"),
+            new Form("GET", "http://backend.local?next=/seat-lookup/17", "/seat-lookup/17"),
+            // neither a path nor an absolute target
+            new Form("POST", "xseat-booking/17", "/seat-booking/17"),
+            new Form("GET", "xseat-lookup/17", "/seat-lookup/17"),
+            // bytes that a path can't have, and that do not reach the seat server as they were sent
+            new Form("GET", "/seat-lookup/Taup\u00c5\u008d", "/seat-lookup/Taup%C5%8D"),
+            // not 16 hex digits
+            new Form("POST", "/seat-booking/17", "/seat-booking/17", "X-Customer: +0000000b4d65521"));
 
     public static void main(String[] args) throws Exception {
         Rig.main(args, Case7::run);
     }
 
     private static int run(Rig rig) throws Exception {
-        Map<String, String> runs = new ConcurrentHashMap<>();
+        Map<String, String> runs = new ConcurrentHashMap<>(); // what ran, by id
         Rig.Discovery discovery = new Rig.Discovery();
         for (int i = 0; i < 4; i++) {
             Rig.SeatServer server = new Rig.SeatServer("s-" + i, 0, (s, c, m) -> {
-                String body = new String(c.readBody(m, false).body, StandardCharsets.ISO_8859_1);
+                String body = new String(c.readBody(m, false).body);
                 String what = m.startLine + ", body '" + body + "', at " + s.id;
                 rig.note("run    " + m.id() + "  " + what);
                 runs.merge(String.valueOf(m.id()), what, (a, b) -> a + " AND " + b);
@@ -44,59 +55,46 @@
         }
         int broken = 0;
         int unserved = 0;
-        int sent = 0;
         for (int round = 0; round < ROUNDS; round++) {
             Rig.Gateway gateway = gateways.get(round % 2);
             for (Form form : FORMS) {
+                String id = rig.newId();
                 if (rig.trouble) {
-                    String id = rig.newId();
-                    String innerId = rig.newId();
-                    String inner = Rig.head("POST", "/seat-booking/99", innerId, 2000, "Content-Length: 9\r\n")
-                            + "two seats";
-                    List<Integer> answers = send(rig, gateway, id, form.name(), form.body().replace("INNER", inner));
-                    boolean served = answers.contains(200);
-                    if (runs.containsKey(id) || runs.containsKey(innerId) || served) {
+                    int status = send(rig, gateway, id, form.method(), form.target(), form.customer());
+                    if (runs.containsKey(id) || status == 200) {
                         broken++;
-                        rig.note("BROKEN " + id + "  " + form.name() + ": answers " + answers + "; run: "
-                                + runs.get(id)
-                                + (runs.containsKey(innerId)
-                                        ? "; a request inside the body was run as well, " + innerId + ": "
-                                                + runs.get(innerId)
-                                        : ""));
+                        rig.note("BROKEN " + id + "  " + form.method() + " " + form.target() + " with " + form.customer()
+                                + " was answered " + status + "; run: "
+                                + runs.get(id));
                     }
                 }
                 String properId = rig.newId();
-                sent++;
-                List<Integer> answers = send(rig, gateway, properId, "proper chunks", "5\r\nhello\r\n0\r\n\r\n");
-                if (!answers.equals(List.of(200)) || !runs.containsKey(properId)) {
+                int status = send(rig, gateway, properId, form.method(), form.proper(), CUSTOMER);
+                if (status != 200 || !runs.containsKey(properId)) {
                     unserved++;
                 }
             }
         }
-        rig.note(broken + " peers with a body that was not framed properly were served; " + unserved + " of " + sent
-                + " proper requests were not served");
+        rig.note(broken + " requests that were not proper were run or answered as served; " + unserved + " of "
+                + ROUNDS * FORMS.size() + " proper requests were not served");
         return broken > 0 ? Rig.BROKEN : unserved > 0 ? Rig.NOT_RUN : Rig.HELD;
     }
 
-    /** Sends one chunked request, and stays for a while. Returns the status of each answer that comes. */
-    private static List<Integer> send(Rig rig, Rig.Gateway gateway, String id, String name, String body)
-            throws Exception {
-        List<Integer> answers = new ArrayList<>();
-        rig.note("sent   " + id + "  " + name + ": " + body.replace("\r\n", "|"));
+    /** Sends one request on a connection of its own. Returns the status, 0 for a close without an answer. */
+    private static int send(
+            Rig rig, Rig.Gateway gateway, String id, String method, String target, String customer) throws Exception {
+        String body = method.equals("POST") ? "two seats" : "";
+        String length = method.equals("POST") ? "Content-Length: " + body.length() + "\r\n" : "";
+        rig.note("sent   " + id + "  " + method + " " + target + " with " + customer);
         try (Rig.Conn c = new Rig.Conn(gateway.port)) {
             c.socket.setSoTimeout(3500);
-            c.send(Rig.head("POST", "/seat-booking/17", id, 2000, "Transfer-Encoding: chunked\r\n") + body);
-            while (true) {
-                Rig.Message answer = c.readMessage(true);
-                answers.add(answer.status());
-                rig.note("answer " + id + "  " + answer.status() + " '" + new String(answer.body) + "'");
-                c.socket.setSoTimeout(300);
-            }
+            c.send(Rig.head(method, target, id, 2000, length).replace(CUSTOMER, customer) + body);
+            Rig.Message answer = c.readMessage(true);
+            rig.note("answer " + id + "  " + answer.status() + " '" + new String(answer.body) + "'");
+            return answer.status();
         } catch (IOException e) {
-            if (answers.isEmpty()) {
-                rig.note("answer " + id + "  none: " + e);
-            }
+            rig.note("answer " + id + "  none: " + e);
+            return 0;
         }
-        return answers;
     }
 }
