--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -1,21 +1,14 @@
 import java.io.BufferedInputStream;
-import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.File;
-import java.io.FileDescriptor;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.io.OutputStreamWriter;
-import java.io.Writer;
-import java.lang.reflect.Method;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,8 +39,6 @@
     final Path temp;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     private final List<Gateway> gateways = new ArrayList<>();
-    private final List<Process> others = new ArrayList<>();
-    private final List<ProcessHandle> heirs = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong();
     private final String runTag = Long.toHexString(System.nanoTime() & 0xffffffffffL);
 
@@ -92,15 +83,6 @@
             for (Gateway g : gateways) {
                 g.process.destroyForcibly();
             }
-            others.forEach(Process::destroyForcibly);
-            heirs.forEach(ProcessHandle::destroyForcibly);
-        }
-    }
-
-    /** Another process that this case has started; it is ended with the case. */
-    void own(Process p) {
-        synchronized (gateways) {
-            others.add(p);
         }
     }
 
@@ -133,13 +115,6 @@
         System.out.print(text);
     }
 
-    /** Writes a line to the record only. */
-    void quietly(String line) {
-        synchronized (record) {
-            record.append(String.format(Locale.ROOT, "%9.1f ms  %s%n", ms(), line));
-        }
-    }
-
     static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -195,7 +170,6 @@
         int gatewayCount = 1;
         int memoryMb = 192;
         int sockets = 1024;
-        int counterTimeoutMs = 80;
         String limits = "{\"cancel\":true,\"conn_idle_ms\":30000,\"connect_timeout_ms\":250,\"cpu_us_per_request\":0,"
                 + "\"cpu_us_per_s\":500000,\"max_attempts\":3,\"max_open\":20000,\"max_retry_after_ms\":1000,"
                 + "\"may_duplicate\":false,\"peer_messages\":false,\"probes\":true,\"retry_after\":false,"
@@ -213,7 +187,7 @@
                     + "\"limits\":" + limits + ",\"models\":[\"std-4core\"],\"plans\":"
                     + plans.replace("%RATE%", "" + rate).replace("%DEPTH%", "" + depth)
                     + ",\"rules\":" + rules
-                    + ",\"specifics\":{\"counter\":true,\"counter_price\":0.005,\"counter_timeout_ms\":" + counterTimeoutMs + ","
+                    + ",\"specifics\":{\"counter\":true,\"counter_price\":0.005,\"counter_timeout_ms\":80,"
                     + "\"mail_per_s\":0,\"max_units\":1,\"meter_period_ms\":1000,\"post_paid\":false},"
                     + "\"stage\":0,\"telemetry\":{\"names\":[\"qps\",\"latency_ms\"],\"source\":\"inline\"},"
                     + "\"tick_ms\":2,\"tiers\":[\"seat-servers\"],\"weights\":\"rough\",\"zones\":[\"akl-dc1\"]}";
@@ -308,95 +282,6 @@
         return g;
     }
 
-    /**
-     * A listening socket that a helper process holds, as the platform does on days with an upgrade. Each gateway that is
-     * started inherits it as descriptor 0.
-     */
-    final class SharedListener {
-        private static final String HOLDER = "use Socket; $| = 1; $SIG{CHLD} = 'IGNORE';"
-                + " socket(L, PF_INET, SOCK_STREAM, 0) && setsockopt(L, SOL_SOCKET, SO_REUSEADDR, 1)"
-                + " && bind(L, sockaddr_in(0, INADDR_LOOPBACK)) && listen(L, 512) or die;"
-                + " print +(sockaddr_in(getsockname(L)))[0], \"\\n\";"
-                + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
-                + " if (!$pid) { my ($log, @v) = split /\\t/, $line;"
-                + " for (@v) { my ($n, $x) = split /=/, $_, 2; $ENV{$n} = $x; }"
-                + " open(STDIN, '<&L') or die; open(STDOUT, '>', '/dev/null') or die;"
-                + " open(STDERR, '>>', $log) or die; exec '/bin/sh', '-c', $ARGV[0]; }"
-                + " print \"$pid\\n\"; }";
-        final int port;
-        private final BufferedReader out;
-        private final Writer in;
-        private final Path home;
-        private final Path tmp;
-        private int started;
-
-        SharedListener() throws IOException {
-            Process holder = new ProcessBuilder("perl", "-e", HOLDER, runCommand()).start();
-            own(holder);
-            out = new BufferedReader(new InputStreamReader(holder.getInputStream()));
-            in = new OutputStreamWriter(holder.getOutputStream());
-            String line = out.readLine();
-            if (line == null) {
-                throw new IOException("no perl for the process that holds the listening socket");
-            }
-            port = Integer.parseInt(line);
-            home = Files.createTempDirectory(temp, "shared-");
-            tmp = Files.createDirectory(home.resolve("tmp"));
-        }
-
-        /** Starts one more process of the gateway, and waits until its operator's address says yes. */
-        Heir start(Discovery discovery, Counter counter, Settings s) throws Exception {
-            int operatorPort = freePort();
-            started++;
-            Path config = home.resolve("config-" + started + ".json");
-            Files.writeString(
-                    config, configJson("n0", port, operatorPort, discovery.port, counter.port, s, 0, discovery.json(true)));
-            Path log = home.resolve("log-" + started);
-            in.write(String.join(
-                            "\t",
-                            log.toString(),
-                            "NODE_NAME=n0",
-                            "NODE_LISTEN=127.0.0.1:" + port,
-                            "NODE_LISTEN_FD=0",
-                            "NODE_DISCOVERY=127.0.0.1:" + discovery.port,
-                            "NODE_OPERATOR=127.0.0.1:" + operatorPort,
-                            "NODE_CONFIG=" + config,
-                            "TMPDIR=" + tmp)
-                    + "\n");
-            in.flush();
-            long pid = Long.parseLong(out.readLine());
-            Heir heir = new Heir(ProcessHandle.of(pid).orElseThrow(), operatorPort, log);
-            synchronized (gateways) {
-                heirs.add(heir.handle());
-            }
-            note("started process " + pid + " of n0 on port " + port);
-            for (double end = ms() + 30_000; ms() < end; sleep(20)) {
-                if ("ACK".equals(heir.call("health"))) {
-                    note("process " + pid + " says yes");
-                    return heir;
-                }
-            }
-            throw new IOException("process " + pid + " not ready in 30 s: " + Files.readString(log));
-        }
-    }
-
-    /** A gateway process that inherited its listening socket. */
-    record Heir(ProcessHandle handle, int operatorPort, Path log) {
-        String call(String command) {
-            try (Conn c = new Conn(operatorPort)) {
-                c.socket.setSoTimeout(1000);
-                c.send(command + "\n");
-                return c.readLine();
-            } catch (IOException e) {
-                return null;
-            }
-        }
-
-        void signal(String name) throws Exception {
-            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + handle.pid()).start().waitFor();
-        }
-    }
-
     void awaitReady(Gateway g) throws Exception {
         double end = ms() + 30_000;
         while (ms() < end) {
@@ -608,8 +493,6 @@
     static final class Counter {
         final int port;
         private final Map<String, double[]> totals = new LinkedHashMap<>();
-        volatile boolean silent; // answers nothing, and counts what it has read once it is back
-        volatile int calls;
 
         Counter() throws IOException {
             ServerSocket listener = new ServerSocket(0, 64, LOCAL);
@@ -632,11 +515,7 @@
                     words.add(new String(c.readExactly(length), StandardCharsets.ISO_8859_1));
                     c.readLine();
                 }
-                while (silent) {
-                    sleep(5);
-                }
                 if (words.get(0).equals("ADDGET")) {
-                    calls++;
                     String total = Double.toString(add(
                             words.get(1), Double.parseDouble(words.get(2)), Double.parseDouble(words.get(3))));
                     c.send("$" + total.length() + "\r\n" + total + "\r\n");
@@ -747,18 +626,9 @@
         private final Handler handler;
 
         SeatServer(String id, int receiveBuffer, Handler handler) throws Exception {
-            this(id, receiveBuffer, 0, handler);
-        }
-
-        /** With {@code segment}, TCP segments are as small as on a network with this maximum segment size. */
-        SeatServer(String id, int receiveBuffer, int segment, Handler handler) throws Exception {
             this.id = id;
             this.handler = handler;
-            ServerSocketChannel channel = ServerSocketChannel.open();
-            listener = channel.socket();
-            if (segment > 0) {
-                limitSegments(channel, segment);
-            }
+            listener = new ServerSocket();
             if (receiveBuffer > 0) {
                 listener.setReceiveBufferSize(receiveBuffer);
             }
@@ -772,25 +642,6 @@
             });
         }
 
-        /** Sets TCP_MAXSEG, for which Java has no public call (needs --add-opens java.base/sun.nio.ch=ALL-UNNAMED). */
-        private static void limitSegments(ServerSocketChannel channel, int segment) throws Exception {
-            Method getFd = channel.getClass().getDeclaredMethod("getFD");
-            getFd.setAccessible(true);
-            Method set = Class.forName("sun.nio.ch.Net")
-                    .getDeclaredMethod(
-                            "setIntOption0",
-                            FileDescriptor.class,
-                            boolean.class,
-                            int.class,
-                            int.class,
-                            int.class,
-                            boolean.class);
-            set.setAccessible(true);
-            int ipProtoTcp = 6;
-            int tcpMaxSeg = 2;
-            set.invoke(null, getFd.invoke(channel), false, ipProtoTcp, tcpMaxSeg, segment, false);
-        }
-
         private void serve(Conn c) throws Exception {
             try (c) {
                 while (true) {
