Refuse requests whose target or numbers are not of the grammar

Cause: each place looked for the part that it wanted and ignored the rest. ClientConnection.originForm took the first slash behind '://' for the start of the path, also inside a query, and passed on every other target unread; RequestReader skipped the first character of the path without a look; bytes above 0x7f were read one by one and written as UTF-8; numbers were parsed by methods of the language, which take signs, suffixes and more.

Change: RequestTarget reduces the two forms that may be served to path and query and knows no other; UriGrammar and NumberGrammar check each character. A request with an improper target is answered 400 like one of an unknown class, and its connection stays, as its length is known. A quota in two lines is read as the list that it is; a value given twice is refused.

--- a/src/main/java/deckfall/net/ChunkFraming.java
+++ b/src/main/java/deckfall/net/ChunkFraming.java
@@ -128,7 +128,7 @@
     }
 
     private Position afterSize(int b) {
-        int digit = b < Byte.MAX_VALUE ? Character.digit(b, HEX) : -1;
+        int digit = NumberGrammar.hexDigit(b);
         if (digit < 0) {
             return position == Position.SIZE ? afterValue(b) : Position.MALFORMED;
         }
--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -61,7 +61,6 @@
     private static final double MIN_BODY_BYTES_PER_MS = 32; // a slower body is then rejected
     private static final long DISCARD_TIMEOUT_MS = 2000; // how long the rest of an unwanted body is read
     private static final double RESPONSE_STALL_TIMEOUT_MS = 20_000; // how long a client may leave a response unread
-    private static final int SCHEME_SEPARATOR_LENGTH = 3;
     private static final double MS_PER_SECOND = 1000;
     private static final int DEADLINE_READ_AHEAD_BYTES = 1 << 20; // at the deadline, to find the end of a body
     private static final String READINESS_PATH = "/healthz";
@@ -564,7 +563,8 @@
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(head) && !gaveUp;
-        incoming = new IncomingRequest(head, originForm(head.uri()), node.memoryBudget, account, node.clock.now());
+        incoming = new IncomingRequest(
+                head, RequestTarget.originForm(head.uri()), node.memoryBudget, account, node.clock.now());
         incoming.onAcceptsMore(this::updateAutoRead);
         if (incoming.tooLong()) {
             respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
@@ -631,7 +631,7 @@
         message.markComplete();
         if (openRequest != null) { // admitted before it was complete
             node.bodyReceived(openRequest, messageReceivedMs);
-        } else if (message.uri.equals(READINESS_PATH)) {
+        } else if (READINESS_PATH.equals(message.uri)) {
             message.release();
             respond(node.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         } else {
@@ -936,16 +936,4 @@
         }
         close(ioError ? CloseReason.BROKEN : CloseReason.DEFECT);
     }
-
-    /**
-     * Reduces a URI to path and query, which hosts expect. A client may send an absolute URI, as it would to a proxy.
-     */
-    private static String originForm(String uri) {
-        int schemeEnd = uri.startsWith("/") ? -1 : uri.indexOf("://");
-        if (schemeEnd < 0) {
-            return uri;
-        }
-        int pathStart = uri.indexOf('/', schemeEnd + SCHEME_SEPARATOR_LENGTH);
-        return pathStart < 0 ? "/" : uri.substring(pathStart);
-    }
 }
--- a/src/main/java/deckfall/net/IncomingRequest.java
+++ b/src/main/java/deckfall/net/IncomingRequest.java
@@ -31,7 +31,7 @@
     }
 
     final HttpRequest head;
-    final String uri; // in origin form
+    final String uri; // in origin form, null if it was improper
     final long declaredBytes; // -1 for a chunked body
     final double startedMs;
     private final MemoryBudget memoryBudget;
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -7,6 +7,7 @@
 import deckfall.Gateway.Settings;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -16,7 +17,6 @@
  * Translates the head of a client's message into a request for the decision module. It retains nothing of a message.
  */
 final class RequestReader {
-    private static final int CUSTOMER_RADIX = 16;
     private static final int CUSTOMER_DIGITS = 16;
     private static final long CUSTOMER_LIMIT = 1L << 33;
     private static final int MAX_ID_LENGTH = 64;
@@ -35,8 +35,8 @@
         private static final int MISSING = -1;
 
         /**
-         * Parses the header; missing values are negative. Throws {@link NumberFormatException} if a number is
-         * malformed.
+         * Parses the header; missing values are negative. Throws {@link NumberFormatException} if a number is malformed
+         * or given twice.
          */
         static Quota parse(String header) {
             double units = MISSING;
@@ -46,15 +46,22 @@
                 int equals = part.indexOf('=');
                 String value = part.substring(equals + 1).trim();
                 switch (equals < 0 ? "" : part.substring(0, equals).trim()) {
-                    case "units" -> units = Double.parseDouble(value);
-                    case "spread" -> spread = Integer.parseInt(value);
-                    case "first" -> first = Integer.parseInt(value);
+                    case "units" -> units = onlyValue(units, NumberGrammar.decimal(value));
+                    case "spread" -> spread = (int) onlyValue(spread, NumberGrammar.wholeNumber(value));
+                    case "first" -> first = (int) onlyValue(first, NumberGrammar.wholeNumber(value));
                     default -> {} // ignored, as a later version may add more
                 }
             }
             return new Quota(units, spread, first);
         }
 
+        private static double onlyValue(double before, double value) {
+            if (before != MISSING) {
+                throw new NumberFormatException("two values");
+            }
+            return value;
+        }
+
         boolean valid() {
             return units > 0 && units < Integer.MAX_VALUE && spread > 0 && first >= 0;
         }
@@ -63,14 +70,14 @@
     /** Returns the request for the decision module, or null if something that it requires is missing or malformed. */
     Request read(IncomingRequest message, double now) {
         HttpHeaders headers = message.head.headers();
-        RequestClass requestClass = classes.get(firstPathSegment(message.uri));
+        RequestClass requestClass = message.uri == null ? null : classes.get(firstPathSegment(message.uri));
         if (requestClass == null || !hasRequiredHeaders(headers) || !matchesClass(message, requestClass)) {
             return null;
         }
         try {
-            long customer = Long.parseLong(headers.get(HeaderNames.CUSTOMER), CUSTOMER_RADIX);
-            long expiresInMs = Integer.parseInt(headers.get(HeaderNames.EXPIRES_IN_MS));
-            Quota quota = Quota.parse(headers.get(HeaderNames.QUOTA));
+            long customer = NumberGrammar.hexNumber(headers.get(HeaderNames.CUSTOMER), CUSTOMER_DIGITS);
+            long expiresInMs = NumberGrammar.wholeNumber(headers.get(HeaderNames.EXPIRES_IN_MS));
+            Quota quota = Quota.parse(quotaOf(headers));
             if (customer < 0 || customer >= CUSTOMER_LIMIT || expiresInMs <= 0 || !quota.valid()) {
                 return null;
             }
@@ -89,6 +96,12 @@
         }
     }
 
+    /** The quota is a list, which may stand in several lines. */
+    private static String quotaOf(HttpHeaders headers) {
+        List<String> lines = headers.getAll(HeaderNames.QUOTA);
+        return lines.size() == 1 ? lines.get(0) : String.join(",", lines);
+    }
+
     /** Whether all required headers are present, with valid lengths, and the plan is known. */
     private boolean hasRequiredHeaders(HttpHeaders headers) {
         String id = headers.get(HeaderNames.TRACE_ID);
@@ -99,7 +112,6 @@
         return planKnown
                 && idValid
                 && customer != null
-                && customer.length() == CUSTOMER_DIGITS
                 && headers.contains(HeaderNames.EXPIRES_IN_MS)
                 && headers.contains(HeaderNames.QUOTA);
     }
@@ -113,10 +125,10 @@
     }
 
     private static String firstPathSegment(String uri) {
-        int end = 1;
+        int end = 1; // behind the slash with which a path begins
         while (end < uri.length() && uri.charAt(end) != '/' && uri.charAt(end) != '?') {
             end++;
         }
-        return uri.length() < 2 ? "" : uri.substring(1, end);
+        return uri.substring(1, end);
     }
 }
--- /dev/null
+++ b/src/test/java/deckfall/net/RequestGrammarTest.java
@@ -0,0 +1,276 @@
+package deckfall.net;
+
+import static deckfall.net.TestEndpoints.hostEntry;
+import static deckfall.net.TestEndpoints.hostList;
+import static deckfall.net.TestEndpoints.okResponse;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import deckfall.net.TestEndpoints.Client;
+import deckfall.net.TestEndpoints.DiscoveryServer;
+import deckfall.net.TestEndpoints.Message;
+import deckfall.net.TestEndpoints.Server;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
+
+/** Tests which requests reach a host and which are refused, by the grammar of RFC 9110, 9112 and 3986. */
+class RequestGrammarTest {
+    private static final String LINE = "GET /view/7 HTTP/1.1\r\n";
+    private static final String FIELDS = "Host: h\r\nX-Trace-Id: id\r\nX-Plan: free\r\nX-Customer: 00000000b4d65521\r\n"
+            + "X-Expires-In-Ms: 30000\r\nX-Quota: units=1,spread=1,first=0\r\n";
+
+    private static final List<String> IMPROPER_TARGETS = List.of(
+            "http://h?next=/view/7",
+            "http://h?/view/7",
+            "xview/7",
+            "view/7",
+            "?/view/7",
+            "*",
+            "h:80",
+            "h:80/view/7",
+            "//view/7",
+            "/view/Taup\u00c5\u008d",
+            "/view/7?q=\u00e9",
+            "/view/\u007f",
+            "/view/\u0001",
+            "/view/%",
+            "/view/%4",
+            "/view/%4g",
+            "/view/7?q=%zz",
+            "/view/7#part",
+            "/view/7?q#part",
+            "/view/\"7\"",
+            "/view/<7>",
+            "/view/\\7",
+            "/view/^7",
+            "/view/`7",
+            "/view/{7}",
+            "/view/[7]",
+            "/view/7?q=a|b",
+            "\\view\\7",
+            "http:/view/7",
+            "http:view/7",
+            "http:///view/7",
+            "http://:80/view/7",
+            "http://user@h/view/7",
+            "http://user:pw@h/view/7",
+            "http://h:8x/view/7",
+            "http://h:-80/view/7",
+            "http://h:80:80/view/7",
+            "http://h%zz/view/7",
+            "http://h\u00e9/view/7",
+            "http://h[1]/view/7",
+            "http://[::1/view/7",
+            "http://[::1]x/view/7",
+            "http://[:::1]/view/7",
+            "http://[fe80::1%251]/view/7",
+            "http://[v.x]/view/7",
+            "http://h#/view/7",
+            "http://h\\/view/7",
+            "ftp://h/view/7",
+            "ws://h/view/7",
+            "://h/view/7",
+            "x/http://h/view/7",
+            "1http://h/view/7");
+
+    /** Each target with the one that the host gets. */
+    private static final Map<String, String> PROPER_TARGETS = properTargets();
+
+    private static Map<String, String> properTargets() {
+        Map<String, String> targets = new LinkedHashMap<>();
+        for (String path : List.of(
+                "/view",
+                "/view/",
+                "/view//7",
+                "/view?",
+                "/view?q",
+                "/view/Taup%C5%8D",
+                "/view/%c5%8d%00",
+                "/view/..;a=b,c/.%2e/~user/$&'()*+!:@-_",
+                "/view/7?q=/?:@!$&'()*+,;=-._~%20&next=http://h/order/8",
+                "/view/7?x?y=//z")) {
+            targets.put(path, path);
+            targets.put("http://h" + path, path);
+        }
+        for (String authority : List.of(
+                "backend.local",
+                "h:80",
+                "h:",
+                "h:00000080",
+                "10.0.0.1:5000",
+                "[::1]",
+                "[2001:db8::1:0]:80",
+                "[::ffff:10.0.0.1]",
+                "[v1.a:b]",
+                "a_b-c~d.e",
+                "h%41!$&'()*+,;=")) {
+            targets.put("http://" + authority + "/view/7", "/view/7");
+        }
+        targets.put("HTTP://H/view/7", "/view/7");
+        targets.put("https://h/view/7?z", "/view/7?z");
+        return targets;
+    }
+
+    private static final List<String> IMPROPER_VALUES = List.of(
+            "X-Customer: +0000000b4d65521",
+            "X-Customer: -0000000b4d65521",
+            "X-Customer: -000000000000000",
+            "X-Customer: 0x000000b4d65521",
+            "X-Customer: 0000000b4d65521",
+            "X-Customer: 000000000b4d65521",
+            "X-Customer: 00000000b4d6552g",
+            "X-Customer: 00000000 b4d6552",
+            "X-Customer: 0000000b4d_65521",
+            "X-Customer: 0000000200000000",
+            "X-Customer: \u00b90000000b4d65521",
+            "X-Customer:",
+            "X-Expires-In-Ms: +480",
+            "X-Expires-In-Ms: -480",
+            "X-Expires-In-Ms: 480.0",
+            "X-Expires-In-Ms: 4e3",
+            "X-Expires-In-Ms: 0x480",
+            "X-Expires-In-Ms: 4 80",
+            "X-Expires-In-Ms: 4,80",
+            "X-Expires-In-Ms: 480ms",
+            "X-Expires-In-Ms: \u00b2480",
+            "X-Expires-In-Ms:",
+            "X-Expires-In-Ms: 0",
+            "X-Quota: units=+1,spread=1,first=0",
+            "X-Quota: units=-1,spread=1,first=0",
+            "X-Quota: units=0,spread=1,first=0",
+            "X-Quota: units=1d,spread=1,first=0",
+            "X-Quota: units=1f,spread=1,first=0",
+            "X-Quota: units=0x1p1,spread=1,first=0",
+            "X-Quota: units=NaN,spread=1,first=0",
+            "X-Quota: units=Infinity,spread=1,first=0",
+            "X-Quota: units=1e400,spread=1,first=0",
+            "X-Quota: units=1e,spread=1,first=0",
+            "X-Quota: units=.,spread=1,first=0",
+            "X-Quota: units=,spread=1,first=0",
+            "X-Quota: units=1.0.0,spread=1,first=0",
+            "X-Quota: units=1 1,spread=1,first=0",
+            "X-Quota: units=1,spread=+1,first=0",
+            "X-Quota: units=1,spread=0,first=0",
+            "X-Quota: units=1,spread=1.0,first=0",
+            "X-Quota: units=1,spread=,first=0",
+            "X-Quota: units=1,spread=1,first=+0",
+            "X-Quota: units=1,spread=1,first=-1",
+            "X-Quota: units=1,spread=1,first=-0",
+            "X-Quota: units=1,spread=1",
+            "X-Quota: units=1,units=2,spread=1,first=0",
+            "X-Quota: units=1,spread=1,first=0,first=0",
+            "X-Quota: units=1;spread=1;first=0",
+            "X-Quota: Units=1,spread=1,first=0",
+            "X-Quota:");
+
+    private static final List<String> PROPER_VALUES = List.of(
+            "X-Customer: 00000000B4D65521",
+            "X-Customer:\t00000001ffffffff \t",
+            "x-customer:0000000000000000",
+            "X-Expires-In-Ms: 00000000000000030000",
+            "X-Expires-In-Ms: 99999999999",
+            "X-Quota: units=0001,spread=01,first=00",
+            "X-Quota: units=1.5,spread=1,first=0",
+            "X-Quota: units=1e0,spread=1,first=0",
+            "X-Quota: units=1.25E-1,spread=1,first=0",
+            "X-Quota: first=0,units=1,spread=1",
+            "X-Quota: units=1, spread=1 ,\tfirst=0",
+            "X-Quota: units=1,spread=1,first=0,later=x",
+            "X-Quota: units=1,spread=1\r\nX-Quota: first=0");
+
+    @RegisterExtension
+    final Closeables closeables = new Closeables();
+
+    private Server host;
+    private Node node;
+
+    @BeforeEach
+    void startNode() throws IOException {
+        host = closeables.closeLater(new Server((m, s) -> s.getOutputStream().write(okResponse("served"))));
+        DiscoveryServer discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h", host.address(), "ready"))));
+        node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"));
+        closeables.push(node::stop);
+    }
+
+    private static String withTarget(String target) {
+        return "GET " + target + " HTTP/1.1\r\n" + FIELDS + "\r\n";
+    }
+
+    /** A request in which this line stands for the ordinary one of the same field. */
+    private static String withField(String line) {
+        String name = line.substring(0, line.indexOf(':'));
+        StringBuilder request = new StringBuilder(LINE);
+        for (String field : FIELDS.split("\r\n")) {
+            boolean replaced = field.regionMatches(true, 0, name + ':', 0, name.length() + 1);
+            request.append(replaced ? line : field).append("\r\n");
+        }
+        return request.append("\r\n").toString();
+    }
+
+    private int statusOf(String request) throws IOException {
+        try (Client client = new Client(node)) {
+            return client.send(request).receive().status();
+        }
+    }
+
+    private void assertRefused(List<String> requests) throws IOException {
+        List<String> accepted = new ArrayList<>();
+        for (String request : requests) {
+            int status = statusOf(request);
+            if (status != 400) {
+                accepted.add(request + " -> " + status);
+            }
+        }
+        assertEquals(List.of(), accepted);
+        assertEquals(List.of(), host.requests);
+    }
+
+    private void assertServed(List<String> requests) throws IOException {
+        List<String> refused = new ArrayList<>();
+        for (String request : requests) {
+            int status = statusOf(request);
+            if (status != 200) {
+                refused.add(request + " -> " + status);
+            }
+        }
+        assertEquals(List.of(), refused);
+        assertEquals(requests.size(), host.requests.size());
+    }
+
+    /** Guards against a booking made of a part of a target that is no path, and against other bytes than were sent. */
+    @Test
+    void improperTargetsReachNoHost() throws Exception {
+        assertRefused(
+                IMPROPER_TARGETS.stream().map(RequestGrammarTest::withTarget).toList());
+    }
+
+    @Test
+    void everyFormOfTargetReachesTheHostInOriginForm() throws Exception {
+        assertServed(PROPER_TARGETS.keySet().stream()
+                .map(RequestGrammarTest::withTarget)
+                .toList());
+        assertEquals(
+                PROPER_TARGETS.values().stream()
+                        .map(target -> "GET " + target + " HTTP/1.1")
+                        .toList(),
+                host.requests.stream().map(Message::startLine).toList());
+    }
+
+    /** Guards against numbers that only the language takes for such, as a customer with a sign. */
+    @Test
+    void improperNumbersReachNoHost() throws Exception {
+        assertRefused(
+                IMPROPER_VALUES.stream().map(RequestGrammarTest::withField).toList());
+    }
+
+    @Test
+    void everyFormOfANumberIsServed() throws Exception {
+        assertServed(PROPER_VALUES.stream().map(RequestGrammarTest::withField).toList());
+    }
+}
