Refuse requests with malformed chunks, whose data could run as a request of its own

Cause: the decoder, which the gateway makes stricter for heads only, takes any text behind a chunk size, passes over all bytes between the data of a chunk and the next line feed, and its chunk size overflows at 32 bits.

The first byte that is not of the grammar of RFC 9112, section 7.1, ends the body; the client gets 400, and nothing behind it is decoded. Extensions of every form are served; a line feed alone does not end a line of chunks, as RFC 9112, section 2.2, allows that for the start line and fields only.

ChunkGrammarTest on the state before: 5 of 16 bodies whose chunks do not fit their sizes and 29 of 38 with malformed lines were served, in one case with the request behind it; now none. All 10 proper forms were served before and are.

--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -13,8 +13,8 @@
  * takes the next one, as decoded messages take a multiple of the memory. What the decoder holds is counted in the
  * connection's account.
  *
- * <p>Rejects requests whose length is ambiguous. Netty itself drops a Content-Length next to chunked encoding, which an
- * intermediary must not do.
+ * <p>Rejects requests whose length is ambiguous, and chunks that are malformed. Netty itself drops a Content-Length next to
+ * chunked encoding, which an intermediary must not do, and passes over what it does not expect in chunks.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
     /** The connection that takes the decoded requests. */
@@ -35,6 +35,7 @@
     private final Receiver receiver;
     private final DecoderMemory memory;
     private final MessageProgress messageProgress = new MessageProgress();
+    private final ChunkFraming chunkFraming = new ChunkFraming();
     private final ReceiveTimes receiveTimes = new ReceiveTimes();
     private ChannelHandlerContext context;
     private boolean reading; // inside a call of channelRead
@@ -93,14 +94,22 @@
             if (!receiver.takesNext(messageProgress.insideMessage())) {
                 return;
             }
-            int startIndex = in.readerIndex();
-            int sizeBefore = out.size();
-            super.decode(ctx, in, out);
-            messageProgress.decoded(in, startIndex, out, sizeBefore);
+            decodeNext(ctx, in, out);
         }
         memory.decoded(in, out);
     }
 
+    private void decodeNext(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (chunkFraming.rejects(in, out)) {
+            return;
+        }
+        int startIndex = in.readerIndex();
+        int sizeBefore = out.size();
+        super.decode(ctx, in, out);
+        messageProgress.decoded(in, startIndex, out, sizeBefore);
+        chunkFraming.decoded(in, startIndex, out, sizeBefore);
+    }
+
     /** Drops what is held of further requests, and all that still arrives. */
     void discard() {
         memory.discard();
--- a/src/test/java/deckfall/net/ChunkGrammarTest.java
+++ b/src/test/java/deckfall/net/ChunkGrammarTest.java
@@ -12,11 +12,17 @@
 import deckfall.net.TestEndpoints.DiscoveryServer;
 import deckfall.net.TestEndpoints.Message;
 import deckfall.net.TestEndpoints.Server;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 
@@ -43,6 +49,46 @@
             "bh\r\nhello hello\r\n0\r\n\r\n",
             "b\r\nhello hello\r\n-0\r\n\r\n");
 
+    private static final List<String> MALFORMED_LINES = List.of(
+            "b bytes\r\nhello hello\r\n0\r\n\r\n",
+            "b \r\nhello hello\r\n0\r\n\r\n",
+            " b\r\nhello hello\r\n0\r\n\r\n",
+            "\tb\r\nhello hello\r\n0\r\n\r\n",
+            "b,b\r\nhello hello\r\n0\r\n\r\n",
+            "b\u00b2\r\nhello hello\r\n0\r\n\r\n",
+            "b;\r\nhello hello\r\n0\r\n\r\n",
+            "b;a;\r\nhello hello\r\n0\r\n\r\n",
+            "b;;a\r\nhello hello\r\n0\r\n\r\n",
+            "b;=a\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=b=c\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=b c\r\nhello hello\r\n0\r\n\r\n",
+            "b;a b\r\nhello hello\r\n0\r\n\r\n",
+            "b;a \r\nhello hello\r\n0\r\n\r\n",
+            "b;a=b \r\nhello hello\r\n0\r\n\r\n",
+            "b;(a)\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\"b\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\"b\"c\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\"\u0001\"\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\"\\\u007f\"\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\u0000\r\nhello hello\r\n0\r\n\r\n",
+            "b;\u00e9\r\nhello hello\r\n0\r\n\r\n",
+            "b;a=\rb\r\nhello hello\r\n0\r\n\r\n",
+            "b;a\nhello hello\r\n0\r\n\r\n",
+            "b\nhello hello\r\n0\r\n\r\n",
+            "b\r\r\nhello hello\r\n0\r\n\r\n",
+            "b\r\nhello hello\n0\r\n\r\n",
+            "b\r\nhello hello\r\n0\n\r\n",
+            "b\r\nhello hello\r\n0 \r\n\r\n",
+            "b\r\nhello hello\r\n0;\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nno colon\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\n: 1\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX-T : 1\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX(T): 1\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\n X-T: 1\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX-T: a\u0000b\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX-T: a\rb\r\n\r\n");
+
     private static final List<String> PROPER = List.of(
             "b\r\nhello hello\r\n0\r\n\r\n",
             "B\r\nhello hello\r\n0\r\n\r\n",
@@ -94,6 +140,23 @@
                 .replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks);
     }
 
+    /** Sends each body with another request behind it, neither of which may reach the host. */
+    private void assertRefused(List<String> bodies) throws Exception {
+        Node node = nodeWithEcho();
+        List<String> accepted = new ArrayList<>();
+        for (int i = 0; i < bodies.size(); i++) {
+            try (Client client = new Client(node)) {
+                client.send(chunkedRequest(i, bodies.get(i) + orderRequest("behind-" + i, "")));
+                int status = client.receive().status();
+                if (status != 400 || client.receive() != null || !received.isEmpty()) {
+                    accepted.add(bodies.get(i) + " -> " + status + " " + received);
+                    received.clear();
+                }
+            }
+        }
+        assertEquals(List.of(), accepted);
+    }
+
     private void assertNeverPassedOn(List<String> bodies) throws Exception {
         Client client = closeables.closeLater(new Client(nodeWithResponses(bodies)));
         List<String> passedOn = new ArrayList<>();
@@ -107,12 +170,82 @@
         assertEquals(List.of(), passedOn);
     }
 
+    /** Guards against a chunk size that overflows, so that the data behind it is read as a request of its own. */
+    @Test
+    void requestsWhoseChunksDoNotFitTheirSizeReachNoHost() throws Exception {
+        assertRefused(WRONG_SIZES_AND_ENDS);
+    }
+
+    /** Guards against lines of which only the beginning is read. */
+    @Test
+    void requestsWithMalformedChunkLinesReachNoHost() throws Exception {
+        assertRefused(MALFORMED_LINES);
+    }
+
+    @Test
+    void requestsInEveryFormOfChunksAreServed() throws Exception {
+        Node node = nodeWithEcho();
+        List<String> refused = new ArrayList<>();
+        for (String chunks : PROPER) {
+            try (Client client = new Client(node)) {
+                Message response = client.send(chunkedRequest(0, chunks)).receive();
+                if (!response.text().equals(BODY)) {
+                    refused.add(chunks + " -> " + response.startLine());
+                }
+            }
+        }
+        assertEquals(List.of(), refused);
+    }
+
+    /** Decodes a response that arrives in pieces of this size. Returns its body, or null if it is rejected. */
+    private static String decode(String chunks, int pieceSize) {
+        EmbeddedChannel channel =
+                new EmbeddedChannel(new StrictResponseDecoder(new MemoryBudget(1 << 20, 1).openAccount(() -> {})));
+        byte[] message = bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+        for (int i = 0; i < message.length; i += pieceSize) {
+            int length = Math.min(pieceSize, message.length - i);
+            channel.writeInbound(channel.alloc().buffer(length).writeBytes(message, i, length));
+        }
+        StringBuilder body = new StringBuilder();
+        boolean complete = false;
+        boolean failed = false;
+        for (HttpObject next = channel.readInbound(); next != null; next = channel.readInbound()) {
+            failed |= next.decoderResult().isFailure();
+            complete |= next instanceof LastHttpContent;
+            if (next instanceof HttpContent content) {
+                body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+                content.release();
+            }
+        }
+        channel.finishAndReleaseAll();
+        return complete && !failed ? body.toString() : null;
+    }
+
+    /** Guards against lines that are checked only where they arrive as a whole. */
+    @Test
+    void piecesOfAnySizeMakeNoDifference() {
+        List<String> wrong = new ArrayList<>();
+        for (int size : new int[] {1, 2, 3, 7, 64}) {
+            PROPER.stream().filter(chunks -> !BODY.equals(decode(chunks, size))).forEach(wrong::add);
+            Stream.of(WRONG_SIZES_AND_ENDS, MALFORMED_LINES)
+                    .flatMap(List::stream)
+                    .filter(chunks -> decode(chunks, size) != null)
+                    .forEach(wrong::add);
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     /** Guards against a part of a response that a client takes for the whole. */
     @Test
     void responsesWhoseChunksDoNotFitTheirSizeAreNeverPassedOn() throws Exception {
         assertNeverPassedOn(WRONG_SIZES_AND_ENDS);
     }
 
+    @Test
+    void responsesWithMalformedChunkLinesAreNeverPassedOn() throws Exception {
+        assertNeverPassedOn(MALFORMED_LINES);
+    }
+
     @Test
     void responsesInEveryFormOfChunksArePassedOn() throws Exception {
         Client client = closeables.closeLater(new Client(nodeWithResponses(PROPER)));
