--- a/src/main/java/deckfall/net/ChunkFraming.java
+++ b/src/main/java/deckfall/net/ChunkFraming.java
@@ -25,21 +25,31 @@
         NOT_CHUNKED,
         SIZE_START,
         SIZE,
-        EXTENSION_START, // only whitespace since the size or a value
-        NAME_START,
-        NAME,
-        VALUE_MARK, // only whitespace since a name
-        VALUE_START,
-        VALUE,
-        QUOTED,
-        QUOTED_PAIR,
-        QUOTED_END,
+        EXTENSION_START(true), // only whitespace since the size or a value
+        NAME_START(true),
+        NAME(true),
+        VALUE_MARK(true), // only whitespace since a name
+        VALUE_START(true),
+        VALUE(true),
+        QUOTED(true),
+        QUOTED_PAIR(true),
+        QUOTED_END(true),
         LINE_FEED,
         DATA,
         DATA_CARRIAGE_RETURN,
         DATA_LINE_FEED,
         AFTER_LAST_CHUNK,
-        MALFORMED
+        MALFORMED;
+
+        final boolean inExtension;
+
+        Position() {
+            this(false);
+        }
+
+        Position(boolean inExtension) {
+            this.inExtension = inExtension;
+        }
     }
 
     private Position position = Position.NOT_CHUNKED;
@@ -71,12 +81,27 @@
                 chunkBytes -= skipped;
                 position = chunkBytes == 0 ? Position.DATA_CARRIAGE_RETURN : Position.DATA;
             } else {
-                position = after(in.getUnsignedByte(index++));
+                Position before = position;
+                position = after(in.getUnsignedByte(index));
+                hideExtension(in, index, before);
+                index++;
             }
         }
         checkedAhead = index - in.readerIndex();
     }
 
+    /**
+     * Writes a plain extension over the one that was received, whose content nobody uses: the decoder refuses some forms
+     * of whitespace and of quoted text, which are allowed.
+     */
+    private void hideExtension(ByteBuf in, int index, Position before) {
+        if (before == Position.SIZE && position.inExtension) {
+            in.setByte(index, ';');
+        } else if (before.inExtension && position.inExtension) {
+            in.setByte(index, 'x');
+        }
+    }
+
     private boolean inChunks() {
         return position != Position.NOT_CHUNKED
                 && position != Position.AFTER_LAST_CHUNK
--- a/src/main/java/deckfall/net/DecoderMemory.java
+++ b/src/main/java/deckfall/net/DecoderMemory.java
@@ -24,9 +24,15 @@
         this.account = account;
     }
 
-    /** The configuration of a decoder whose heads and trailers are counted. */
+    /**
+     * The configuration of a decoder whose heads and trailers are counted. A line feed alone ends their lines as well
+     * (RFC 9112, section 2.2).
+     */
     HttpDecoderConfig decoderConfig() {
-        return new HttpDecoderConfig().setHeadersFactory(this).setTrailersFactory(this);
+        return new HttpDecoderConfig()
+                .setHeadersFactory(this)
+                .setTrailersFactory(this)
+                .setStrictLineParsing(false);
     }
 
     @Override
--- a/src/test/java/deckfall/net/ChunkGrammarTest.java
+++ b/src/test/java/deckfall/net/ChunkGrammarTest.java
@@ -99,7 +99,9 @@
             "b \t; a\t= b ;c\r\nhello hello\r\n0\r\n\r\n",
             "b;a=\"b; \\\" \\\\ \u00e9\t=\"\r\nhello hello\r\n0\r\n\r\n",
             "b;a=\"\";!#$%&'*+-.^_`|~09azAZ=x\r\nhello hello\r\n0\r\n\r\n",
-            "b\r\nhello hello\r\n0\r\nX-T: 1\r\nX-U:\r\nx-v:\t\u00e9 2 \r\n\r\n");
+            "b\r\nhello hello\r\n0\r\nX-T: 1\r\nX-U:\r\nx-v:\t\u00e9 2 \r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX-T: 1\r\n 2\r\n\r\n",
+            "b\r\nhello hello\r\n0\r\nX-T: 1\n\n");
 
     @RegisterExtension
     final Closeables closeables = new Closeables();
