Reject start lines whose words are not set apart by single spaces, and other versions

A request or response of HTTP/1.2 to 1.9, which RFC 9110, section 2.5, wants processed as HTTP/1.1, was refused if it was chunked.

Change: StartLineFraming follows the bytes of a start line as the decoder reads them, and no others, so that an ordinary head costs a look at its first line. MessageFraming does this and the check of chunks for both decoders; it takes the place of MessageProgress. Empty lines before a request, and a line feed alone at its end, are served as before; a status line may end behind its code.

Fields: the same tables hold before and after, but for folded Transfer-Encoding and Content-Length, now refused (RFC 9112, section 5.2, allows either). Control characters at the ends of a folded line are still trimmed by the decoder; the values that the gateway reads are checked after that.

--- a/src/main/java/deckfall/net/MessageLength.java
+++ b/src/main/java/deckfall/net/MessageLength.java
@@ -26,7 +26,7 @@
 
     private static boolean hasOnlyChunkedCoding(HttpMessage message) {
         Iterator<String> codings = message.headers().valueStringIterator(HttpHeaderNames.TRANSFER_ENCODING);
-        return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.next().trim())
+        return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.next())
                 && !codings.hasNext()
                 && message.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
     }
--- a/src/main/java/deckfall/net/StrictRequestDecoder.java
+++ b/src/main/java/deckfall/net/StrictRequestDecoder.java
@@ -13,8 +13,8 @@
  * takes the next one, as decoded messages take a multiple of the memory. What the decoder holds is counted in the
  * connection's account.
  *
- * <p>Rejects requests whose length is ambiguous, and chunks that are malformed. Netty itself drops a Content-Length next to
- * chunked encoding, which an intermediary must not do, and passes over what it does not expect in chunks.
+ * <p>Rejects requests whose length is ambiguous, and start lines and chunks that are malformed. Netty itself drops a
+ * Content-Length next to chunked encoding, which an intermediary must not do.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
     /** The connection that takes the decoded requests. */
@@ -34,8 +34,7 @@
 
     private final Receiver receiver;
     private final DecoderMemory memory;
-    private final MessageProgress messageProgress = new MessageProgress();
-    private final ChunkFraming chunkFraming = new ChunkFraming();
+    private final MessageFraming framing = new MessageFraming(StartLineFraming.ofRequest());
     private final ReceiveTimes receiveTimes = new ReceiveTimes();
     private ChannelHandlerContext context;
     private boolean reading; // inside a call of channelRead
@@ -83,7 +82,7 @@
 
     /** Decodes on in the bytes that are held, if the connection takes more. Must not be called inside a read. */
     void decodeHeld() throws Exception {
-        if (undecodedBytes() > 0 && receiver.takesNext(messageProgress.insideMessage())) {
+        if (undecodedBytes() > 0 && receiver.takesNext(framing.insideMessage())) {
             decodeWith(Unpooled.EMPTY_BUFFER);
         }
     }
@@ -91,25 +90,17 @@
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (!memory.discarding()) {
-            if (!receiver.takesNext(messageProgress.insideMessage())) {
+            if (!receiver.takesNext(framing.insideMessage())) {
                 return;
             }
-            decodeNext(ctx, in, out);
+            if (framing.accepts(in, out)) {
+                super.decode(ctx, in, out);
+                framing.decoded(in, out);
+            }
         }
         memory.decoded(in, out);
     }
 
-    private void decodeNext(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (chunkFraming.rejects(in, out)) {
-            return;
-        }
-        int startIndex = in.readerIndex();
-        int sizeBefore = out.size();
-        super.decode(ctx, in, out);
-        messageProgress.decoded(in, startIndex, out, sizeBefore);
-        chunkFraming.decoded(in, startIndex, out, sizeBefore);
-    }
-
     /** Drops what is held of further requests, and all that still arrives. */
     void discard() {
         memory.discard();
@@ -125,6 +116,7 @@
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        initialLine[2] = StartLineFraming.supportedVersion(initialLine[2]);
         HttpMessage message = super.createMessage(initialLine);
         CountedHeaders.countStartLine(message, initialLine[1].length());
         return message;
@@ -164,6 +156,6 @@
 
     /** Whether bytes have been received that do not form a complete message yet, or that were not decoded yet. */
     boolean hasPartialMessage() {
-        return undecodedBytes() > 0 || !memory.discarding() && messageProgress.insideMessage();
+        return undecodedBytes() > 0 || !memory.discarding() && framing.insideMessage();
     }
 }
--- a/src/main/java/deckfall/net/StrictResponseDecoder.java
+++ b/src/main/java/deckfall/net/StrictResponseDecoder.java
@@ -8,13 +8,14 @@
 import java.util.List;
 
 /**
- * Decodes responses of hosts and rejects header lines without a colon, messages of two lengths, and malformed chunks,
- * all of which Netty's decoder reads in a way of its own. What the decoder holds is counted in the connection's account.
+ * Decodes responses of hosts and rejects malformed status lines, header lines without a colon, messages of two lengths
+ * and malformed chunks, all of which Netty's decoder reads in a way of its own. What the decoder holds is counted in the connection's account.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final int STATUS_DIGITS = 3;
+
     private final DecoderMemory memory;
-    private final MessageProgress messageProgress = new MessageProgress();
-    private final ChunkFraming chunkFraming = new ChunkFraming();
+    private final MessageFraming framing = new MessageFraming(StartLineFraming.ofResponse());
 
     StrictResponseDecoder(MemoryBudget.Account account) {
         this(new DecoderMemory(account));
@@ -33,12 +34,9 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (!memory.discarding() && !chunkFraming.rejects(in, out)) {
-            int startIndex = in.readerIndex();
-            int sizeBefore = out.size();
+        if (!memory.discarding() && framing.accepts(in, out)) {
             super.decode(ctx, in, out);
-            messageProgress.decoded(in, startIndex, out, sizeBefore);
-            chunkFraming.decoded(in, startIndex, out, sizeBefore);
+            framing.decoded(in, out);
         }
         memory.decoded(in, out);
     }
@@ -50,6 +48,10 @@
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
+        initialLine[0] = StartLineFraming.supportedVersion(initialLine[0]);
+        if (initialLine[1].length() != STATUS_DIGITS || !NumberGrammar.isWholeNumber(initialLine[1])) {
+            throw new IllegalArgumentException("not a status code");
+        }
         HttpMessage message = super.createMessage(initialLine);
         CountedHeaders.countStartLine(message, initialLine[2].length());
         return message;
@@ -78,6 +80,6 @@
 
     /** Whether a part of a message has been received that is not complete yet. */
     boolean hasPartialMessage() {
-        return actualReadableBytes() > 0 || messageProgress.insideMessage();
+        return actualReadableBytes() > 0 || framing.insideMessage();
     }
 }
--- a/src/test/java/deckfall/net/RequestGrammarTest.java
+++ b/src/test/java/deckfall/net/RequestGrammarTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -183,6 +184,100 @@
             "X-Quota: units=1,spread=1,first=0,later=x",
             "X-Quota: units=1,spread=1\r\nX-Quota: first=0");
 
+    private static final List<String> IMPROPER_LINES = List.of(
+            "get /view/7 HTTP/1.1\r\n",
+            "G(T /view/7 HTTP/1.1\r\n",
+            "G\u00c9T /view/7 HTTP/1.1\r\n",
+            " GET /view/7 HTTP/1.1\r\n",
+            "\tGET /view/7 HTTP/1.1\r\n",
+            "\u0000GET /view/7 HTTP/1.1\r\n",
+            "\u000bGET /view/7 HTTP/1.1\r\n",
+            "\r\n GET /view/7 HTTP/1.1\r\n",
+            "\rGET /view/7 HTTP/1.1\r\n",
+            "GET  /view/7 HTTP/1.1\r\n",
+            "GET /view/7  HTTP/1.1\r\n",
+            "GET\t/view/7 HTTP/1.1\r\n",
+            "GET /view/7\tHTTP/1.1\r\n",
+            "GET\u000b/view/7 HTTP/1.1\r\n",
+            "GET\r/view/7 HTTP/1.1\r\n",
+            "GET /view/7\rHTTP/1.1\r\n",
+            "GET /view/7 HTTP/1.1 \r\n",
+            "GET /view/7 HTTP/1.1\t\r\n",
+            "GET /view/7 HTTP/1.1\r\r\n",
+            "GET /view/7 HTTP/1.1 x\r\n",
+            "GET /view/7 8 HTTP/1.1\r\n",
+            "GET /view/7\r\n",
+            "GET /view/7 \r\n",
+            "GET HTTP/1.1\r\n",
+            "/view/7 HTTP/1.1\r\n",
+            "GET /view/7 http/1.1\r\n",
+            "GET /view/7 HTTP/2.0\r\n",
+            "GET /view/7 HTTP/0.9\r\n",
+            "GET /view/7 HTTP/3\r\n",
+            "GET /view/7 HTTP/1\r\n",
+            "GET /view/7 HTTP/1.\r\n",
+            "GET /view/7 HTTP/1.10\r\n",
+            "GET /view/7 HTTP/01.1\r\n",
+            "GET /view/7 HTTP/+1.1\r\n",
+            "GET /view/7 HTTP/1.x\r\n",
+            "GET /view/7 HTTP/1,1\r\n",
+            "GET /view/7 HTTP /1.1\r\n",
+            "GET /view/7 HTTPS/1.1\r\n",
+            "GET /view/7 ICY/1.1\r\n");
+
+    private static final List<String> PROPER_LINES = List.of(
+            "GET /view/7 HTTP/1.1\r\n",
+            "GET /view/7 HTTP/1.0\r\n",
+            "GET /view/7 HTTP/1.2\r\n",
+            "GET /view/7 HTTP/1.9\r\n",
+            "GET /view/7 HTTP/1.1\n",
+            "\r\nGET /view/7 HTTP/1.1\r\n",
+            "\r\n\r\n\r\nGET /view/7 HTTP/1.1\r\n",
+            "\nGET /view/7 HTTP/1.1\r\n");
+
+    private static final List<String> IMPROPER_FIELD_LINES = List.of(
+            " X-A: 1\r\n" + FIELDS,
+            "\tX-A: 1\r\n" + FIELDS,
+            " \r\n" + FIELDS,
+            FIELDS + "X-A : 1\r\n",
+            FIELDS + "X-A\t: 1\r\n",
+            FIELDS + "X-A\r\n",
+            FIELDS + ": 1\r\n",
+            FIELDS + "X A: 1\r\n",
+            FIELDS + "X(A): 1\r\n",
+            FIELDS + "X-\u00c9: 1\r\n",
+            FIELDS + "X-A\u0000: 1\r\n",
+            FIELDS + "X-A: 1\u0000\r\n",
+            FIELDS + "X-A: \u00011\r\n",
+            FIELDS + "X-A: 1\u000b2\r\n",
+            FIELDS + "X-A: 1\u007f\r\n",
+            FIELDS + "X-A: 1\r2\r\n",
+            FIELDS + "X-A: 1\r\r\n",
+            FIELDS + "Content-Length: \u000b0\r\n",
+            FIELDS + "Content-Length : 0\r\n",
+            FIELDS + "Content-Length:\r\n 0\r\n",
+            FIELDS + "Transfer-Encoding:\r\n chunked\r\n",
+            FIELDS + "Transfer-Encoding: chunked\r\n \r\n");
+
+    private static final List<String> PROPER_FIELD_LINES = List.of(
+            FIELDS + "X-A:\r\n",
+            FIELDS + "X-A: \t \r\n",
+            FIELDS + "X-A: a\tb  c\r\n",
+            FIELDS + "X-A: \u00e9\u0080\r\n",
+            FIELDS + "X-A: ()<>@,;:\\\"/[]?={}\r\n",
+            FIELDS + "!#$%&'*+-.^_`|~a1: 1\r\n",
+            FIELDS + "X-A: 1\r\n 2\r\n\t3\r\n",
+            FIELDS + "X-A: 1\r\nX-A: 2\r\n",
+            FIELDS.replace(": ", ":"),
+            FIELDS.replace(": ", ":\t "),
+            FIELDS.replace("\r\n", "\n"),
+            FIELDS.replace("\r\n", " \t\r\n"),
+            FIELDS.toLowerCase(Locale.ROOT),
+            FIELDS + "Content-Length: 0\r\n",
+            FIELDS + "Content-Length: 0000000000000000000000000\r\n",
+            FIELDS + "Connection: keep-alive, TE, x\r\nTE: trailers\r\nUpgrade: h2c\r\n",
+            FIELDS + "X-Second-Try: 1\r\n");
+
     @RegisterExtension
     final Closeables closeables = new Closeables();
 
@@ -262,6 +357,33 @@
                 host.requests.stream().map(Message::startLine).toList());
     }
 
+    /** Guards against lines that another recipient would split in another way. */
+    @Test
+    void improperRequestLinesReachNoHost() throws Exception {
+        assertRefused(
+                IMPROPER_LINES.stream().map(line -> line + FIELDS + "\r\n").toList());
+    }
+
+    @Test
+    void everyFormOfARequestLineIsServed() throws Exception {
+        assertServed(PROPER_LINES.stream().map(line -> line + FIELDS + "\r\n").toList());
+    }
+
+    /** Guards against fields that another recipient would read in another way. */
+    @Test
+    void improperFieldLinesReachNoHost() throws Exception {
+        assertRefused(IMPROPER_FIELD_LINES.stream()
+                .map(fields -> LINE + fields + "\r\n")
+                .toList());
+    }
+
+    @Test
+    void everyFormOfAFieldLineIsServed() throws Exception {
+        assertServed(PROPER_FIELD_LINES.stream()
+                .map(fields -> LINE + fields + "\r\n")
+                .toList());
+    }
+
     /** Guards against numbers that only the language takes for such, as a customer with a sign. */
     @Test
     void improperNumbersReachNoHost() throws Exception {
--- a/src/test/java/deckfall/net/ResponseGrammarTest.java
+++ b/src/test/java/deckfall/net/ResponseGrammarTest.java
@@ -60,6 +60,61 @@
             "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
             "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nwhole");
 
+    private static final String LENGTH = "Content-Length: 5\r\n";
+    private static final String REST = LENGTH + "\r\nwhole";
+
+    private static final List<String> UNREADABLE_HEADS = List.of(
+            "HTTP/1.1 +200 OK\r\n" + REST,
+            "HTTP/1.1 0200 OK\r\n" + REST,
+            "HTTP/1.1 2x0 OK\r\n" + REST,
+            "HTTP/1.1 200.0 OK\r\n" + REST,
+            "HTTP/1.1 200OK\r\n" + REST,
+            "HTTP/1.1  200 OK\r\n" + REST,
+            "HTTP/1.1\t200 OK\r\n" + REST,
+            "HTTP/1.1 200\tOK\r\n" + REST,
+            "HTTP/1.1\r200 OK\r\n" + REST,
+            " HTTP/1.1 200 OK\r\n" + REST,
+            "\u0000HTTP/1.1 200 OK\r\n" + REST,
+            "http/1.1 200 OK\r\n" + REST,
+            "HTTP/2.0 200 OK\r\n" + REST,
+            "HTTP/2 200 OK\r\n" + REST,
+            "HTTP/0.9 200 OK\r\n" + REST,
+            "HTTP/1.x 200 OK\r\n" + REST,
+            "HTTP/1.10 200 OK\r\n" + REST,
+            "HTTP/01.1 200 OK\r\n" + REST,
+            "HTTP /1.1 200 OK\r\n" + REST,
+            "ICY/1.1 200 OK\r\n" + REST,
+            "ICY 200 OK\r\n" + REST,
+            "200 OK\r\n" + REST,
+            "HTTP/1.1 200 O\u0000K\r\n" + REST,
+            "HTTP/1.1 200 O\rK\r\n" + REST,
+            "HTTP/1.1 200 OK\r\r\n" + REST,
+            "HTTP/1.1 200 O\u007fK\r\n" + REST,
+            OK + " X-A: 1\r\n" + REST,
+            OK + "X-A\r\n" + REST,
+            OK + ": 1\r\n" + REST,
+            OK + "X-A : 1\r\n" + REST,
+            OK + "X(A): 1\r\n" + REST,
+            OK + "X-A: 1\u0000\r\n" + REST,
+            OK + "X-A: 1\r2\r\n" + REST,
+            OK + "X-A: 1\r\r\n" + REST,
+            OK + "Content-Length : 5\r\n\r\nwhole");
+
+    private static final List<String> READABLE_HEADS = List.of(
+            "HTTP/1.1 200 OK\n" + REST,
+            "HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole",
+            "HTTP/1.1 200 \r\n" + REST,
+            "HTTP/1.1 200\r\n" + REST, // RFC 9112, section 4: whitespace behind the code may be missing
+            "HTTP/1.1 200 Not  found\tat all\r\n" + REST,
+            "HTTP/1.1 200 \u00e9t\u00e9\r\n" + REST,
+            "HTTP/1.1 200 OK \r\n" + REST,
+            "HTTP/1.0 200 OK\r\n" + REST,
+            "HTTP/1.2 200 OK\r\n" + REST,
+            "HTTP/1.9 200 OK\r\n" + CHUNKS,
+            OK + "X-A:\r\nX-B: a\tb \u00e9\r\n!#$%&'*+-.^_`|~a1: 1\r\n" + REST,
+            OK + "X-A: 1\r\n 2\r\n" + REST,
+            OK + "X-A: 1\r\nX-A: 2\r\n" + REST);
+
     @RegisterExtension
     final Closeables closeables = new Closeables();
 
@@ -127,4 +182,15 @@
     void responsesOfEveryReadableLengthArePassedOn() throws Exception {
         assertPassedOn(READABLE_LENGTHS);
     }
+
+    /** Guards against a head that the gateway takes for another than the host sent. */
+    @Test
+    void responsesWithAnUnreadableHeadAreNeverPassedOn() throws Exception {
+        assertNeverPassedOn(UNREADABLE_HEADS);
+    }
+
+    @Test
+    void responsesWithEveryFormOfHeadArePassedOn() throws Exception {
+        assertPassedOn(READABLE_HEADS);
+    }
 }
