Refuse requests without a single proper Host, or with a second line of a single field

RFC 9112, section 3.2, asks for 400 without a Host in HTTP/1.1, with two, or with an improper one; RFC 9110, section 5.3, forbids a second line of a field that is no list.

Change: SingleFields reads each field that may stand once; ImproperFieldException is typed for a missing or repeated one. A health check and a client of HTTP/1.0 need no Host, as a check may know an address only, and it goes to no host. X-Second-Try marks a retry by its value 1.

--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -5,8 +5,10 @@
 import deckfall.Gateway.Request;
 import deckfall.Gateway.RequestClass;
 import deckfall.Gateway.Settings;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,6 +22,7 @@
     private static final int CUSTOMER_DIGITS = 16;
     private static final long CUSTOMER_LIMIT = 1L << 33;
     private static final int MAX_ID_LENGTH = 64;
+    private static final String RETRY_MARK = "1";
 
     private final Map<String, RequestClass> classes;
     private final Set<String> plans;
@@ -69,59 +72,67 @@
 
     /** Returns the request for the decision module, or null if something that it requires is missing or malformed. */
     Request read(IncomingRequest message, double now) {
-        HttpHeaders headers = message.head.headers();
         RequestClass requestClass = message.uri == null ? null : classes.get(firstPathSegment(message.uri));
-        if (requestClass == null || !hasRequiredHeaders(headers) || !matchesClass(message, requestClass)) {
+        if (requestClass == null || !SingleFields.namesHost(message.head)) {
             return null;
         }
         try {
-            long customer = NumberGrammar.hexNumber(headers.get(HeaderNames.CUSTOMER), CUSTOMER_DIGITS);
-            long expiresInMs = NumberGrammar.wholeNumber(headers.get(HeaderNames.EXPIRES_IN_MS));
-            Quota quota = Quota.parse(quotaOf(headers));
-            if (customer < 0 || customer >= CUSTOMER_LIMIT || expiresInMs <= 0 || !quota.valid()) {
-                return null;
-            }
-            return new Request(
-                    headers.get(HeaderNames.TRACE_ID),
-                    Node.deadline(now, expiresInMs),
-                    headers.contains(HeaderNames.SECOND_TRY),
-                    requestClass.name(),
-                    customer,
-                    headers.get(HeaderNames.PLAN),
-                    quota.units(),
-                    quota.first(),
-                    quota.spread());
-        } catch (NumberFormatException e) {
+            return requestOf(message, requestClass, now);
+        } catch (ImproperFieldException | NumberFormatException e) {
             return null;
         }
     }
 
+    private Request requestOf(IncomingRequest message, RequestClass requestClass, double now) {
+        HttpHeaders headers = message.head.headers();
+        String id = SingleFields.required(headers, HeaderNames.TRACE_ID);
+        String plan = plans.isEmpty()
+                ? SingleFields.optional(headers, HeaderNames.PLAN)
+                : SingleFields.required(headers, HeaderNames.PLAN);
+        long customer = NumberGrammar.hexNumber(SingleFields.required(headers, HeaderNames.CUSTOMER), CUSTOMER_DIGITS);
+        long expiresInMs = NumberGrammar.wholeNumber(SingleFields.required(headers, HeaderNames.EXPIRES_IN_MS));
+        Quota quota = Quota.parse(quotaOf(headers));
+        String retryMark = SingleFields.optional(headers, HeaderNames.SECOND_TRY);
+        SingleFields.optional(headers, HttpHeaderNames.CONTENT_TYPE); // passed on to the host
+        boolean proper = isId(id)
+                && (plans.isEmpty() || plans.contains(plan))
+                && customer >= 0
+                && customer < CUSTOMER_LIMIT
+                && expiresInMs > 0
+                && quota.valid()
+                && matchesClass(message.head, requestClass);
+        return !proper
+                ? null
+                : new Request(
+                        id,
+                        Node.deadline(now, expiresInMs),
+                        RETRY_MARK.equals(retryMark),
+                        requestClass.name(),
+                        customer,
+                        plan,
+                        quota.units(),
+                        quota.first(),
+                        quota.spread());
+    }
+
     /** The quota is a list, which may stand in several lines. */
     private static String quotaOf(HttpHeaders headers) {
         List<String> lines = headers.getAll(HeaderNames.QUOTA);
         return lines.size() == 1 ? lines.get(0) : String.join(",", lines);
     }
 
-    /** Whether all required headers are present, with valid lengths, and the plan is known. */
-    private boolean hasRequiredHeaders(HttpHeaders headers) {
-        String id = headers.get(HeaderNames.TRACE_ID);
-        String customer = headers.get(HeaderNames.CUSTOMER);
-        String plan = headers.get(HeaderNames.PLAN);
-        boolean planKnown = plans.isEmpty() || plan != null && plans.contains(plan);
-        boolean idValid = id != null && !id.isEmpty() && id.length() <= MAX_ID_LENGTH;
-        return planKnown
-                && idValid
-                && customer != null
-                && headers.contains(HeaderNames.EXPIRES_IN_MS)
-                && headers.contains(HeaderNames.QUOTA);
+    /** Whether the text is an id, which has no whitespace. */
+    private static boolean isId(String text) {
+        return !text.isEmpty() && text.length() <= MAX_ID_LENGTH && text.indexOf(' ') < 0 && text.indexOf('\t') < 0;
     }
 
     /** Whether the method matches the class of the request, and a request of a keyed class has its key. */
-    private static boolean matchesClass(IncomingRequest message, RequestClass requestClass) {
+    private static boolean matchesClass(HttpRequest head, RequestClass requestClass) {
         boolean repeatable = requestClass.effect() == Effect.REPEATABLE;
         boolean keyed = requestClass.effect() == Effect.KEYED;
-        return message.head.method().equals(repeatable ? HttpMethod.GET : HttpMethod.POST)
-                && (!keyed || message.head.headers().contains(HeaderNames.IDEMPOTENCY_KEY));
+        String key = SingleFields.optional(head.headers(), HeaderNames.IDEMPOTENCY_KEY);
+        return head.method().equals(repeatable ? HttpMethod.GET : HttpMethod.POST)
+                && (!keyed || key != null && !key.isEmpty());
     }
 
     private static String firstPathSegment(String uri) {
--- a/src/test/java/deckfall/net/RequestGrammarTest.java
+++ b/src/test/java/deckfall/net/RequestGrammarTest.java
@@ -118,6 +118,13 @@
     }
 
     private static final List<String> IMPROPER_VALUES = List.of(
+            "X-Trace-Id:",
+            "X-Trace-Id: a b",
+            "X-Trace-Id: a\r\n b",
+            "X-Trace-Id: 12345678901234567890123456789012345678901234567890123456789012345",
+            "X-Plan: Free",
+            "X-Plan: free, tiny",
+            "X-Plan:",
             "X-Customer: +0000000b4d65521",
             "X-Customer: -0000000b4d65521",
             "X-Customer: -000000000000000",
@@ -170,6 +177,8 @@
             "X-Quota:");
 
     private static final List<String> PROPER_VALUES = List.of(
+            "X-Trace-Id: 1234567890123456789012345678901234567890123456789012345678901234",
+            "X-Trace-Id: !#$%&'()*+,-./:;<=>?@[\\]^_`{|}~\u00e9",
             "X-Customer: 00000000B4D65521",
             "X-Customer:\t00000001ffffffff \t",
             "x-customer:0000000000000000",
@@ -278,6 +287,51 @@
             FIELDS + "Connection: keep-alive, TE, x\r\nTE: trailers\r\nUpgrade: h2c\r\n",
             FIELDS + "X-Second-Try: 1\r\n");
 
+    private static final List<String> IMPROPER_HOSTS = List.of(
+            "",
+            "Host: h\r\nHost: h\r\n",
+            "Host: h\r\nHost: other\r\n",
+            "Host: h h\r\n",
+            "Host: h/view\r\n",
+            "Host: user@h\r\n",
+            "Host: http://h\r\n",
+            "Host: h:8x\r\n",
+            "Host: h:-80\r\n",
+            "Host: h:80:80\r\n",
+            "Host: ::1\r\n",
+            "Host: [::1\r\n",
+            "Host: [h]\r\n",
+            "Host: h%\r\n",
+            "Host: h\\x\r\n",
+            "Host: h?x\r\n",
+            "Host: h#x\r\n",
+            "Host: \u00e9\r\n");
+
+    private static final List<String> PROPER_HOSTS = List.of(
+            "Host: backend.local\r\n",
+            "host:h:80\r\n",
+            "HOST: \t10.0.0.1:5000 \r\n",
+            "Host:\r\n",
+            "Host: h:\r\n",
+            "Host: [2001:db8::1]:80\r\n",
+            "Host: a_b~c,d%41\r\n");
+
+    /** Fields that may stand once, each with a second line of the same name. */
+    private static final List<String> REPEATED_FIELDS = List.of(
+            "X-Trace-Id: id",
+            "x-trace-id: other",
+            "X-Plan: free",
+            "X-Plan: tiny",
+            "X-Customer: 00000000b4d65521",
+            "X-Customer: 00000000b4d65522",
+            "X-Expires-In-Ms: 30000",
+            "X-Expires-In-Ms: 40000",
+            "Content-Type: text/plain\r\nContent-Type: text/html",
+            "Idempotency-Key: a\r\nIdempotency-Key: b",
+            "X-Second-Try: 1\r\nX-Second-Try: 1",
+            "Content-Length: 0\r\nContent-Length: 0",
+            "X-Quota: units=1,spread=1,first=0");
+
     @RegisterExtension
     final Closeables closeables = new Closeables();
 
@@ -384,15 +438,50 @@
                 .toList());
     }
 
+    private static List<String> withHosts(List<String> hosts) {
+        return hosts.stream()
+                .map(host -> LINE + FIELDS.replace("Host: h\r\n", host) + "\r\n")
+                .toList();
+    }
+
+    /** Guards against a request that a front has routed by another host than the gateway reads (RFC 9112, section 3.2). */
+    @Test
+    void requestsWithoutASingleProperHostReachNoHost() throws Exception {
+        assertRefused(withHosts(IMPROPER_HOSTS));
+    }
+
+    @Test
+    void everyFormOfAHostIsServed() throws Exception {
+        assertServed(withHosts(PROPER_HOSTS));
+    }
+
+    /** A client of HTTP/1.0 may send no host, nor may a health check that knows an address only. */
+    @Test
+    void hostIsNotNeededWhereNoneMayBeKnown() throws Exception {
+        assertServed(
+                List.of((LINE + FIELDS + "\r\n").replace("HTTP/1.1", "HTTP/1.0").replace("Host: h\r\n", "")));
+        assertEquals(200, statusOf("GET /healthz HTTP/1.1\r\n\r\n"));
+        assertEquals(400, statusOf("GET /healthz HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n"));
+        assertEquals(400, statusOf("GET /healthz HTTP/1.0\r\nHost: h h\r\n\r\n"));
+    }
+
+    /** Guards against two values of which the gateway uses one and another recipient the other. */
+    @Test
+    void repeatedFieldsReachNoHost() throws Exception {
+        assertRefused(REPEATED_FIELDS.stream()
+                .map(field -> LINE + FIELDS + field + "\r\n\r\n")
+                .toList());
+    }
+
     /** Guards against numbers that only the language takes for such, as a customer with a sign. */
     @Test
-    void improperNumbersReachNoHost() throws Exception {
+    void improperValuesReachNoHost() throws Exception {
         assertRefused(
                 IMPROPER_VALUES.stream().map(RequestGrammarTest::withField).toList());
     }
 
     @Test
-    void everyFormOfANumberIsServed() throws Exception {
+    void everyFormOfAValueIsServed() throws Exception {
         assertServed(PROPER_VALUES.stream().map(RequestGrammarTest::withField).toList());
     }
 }
