Read the final response behind interim ones, and check the length where messages are framed

A response with an interim head before it (100, 103 and others) counted as unreadable, as the interim head has no length: its booking failed with 502, a lookup was tried three times. They are now passed over, but for 101, which no request asks for, and one with a Content-Length, which must not be sent. A 204 or 304 without a length ends with its head.

MessageLength is called by MessageFraming, for both directions and every decoder, instead of by the two connections.

A Transfer-Encoding of an interim head, which must not be sent either, is removed by the decoder before it can be seen; such a head ends at its empty line whatever its fields say (RFC 9112, section 6.3).

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -557,9 +557,7 @@
         workInTurn += REQUEST_WORK + (fields == null ? 0 : fields.bytes());
         server.setIdle(this, false);
         http10 = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
-        if (head.decoderResult().isFailure()
-                || !MessageLength.isUnambiguous(head)
-                || !SingleFields.hasProperHost(head)) {
+        if (head.decoderResult().isFailure() || !SingleFields.hasProperHost(head)) {
             keepAlive = false; // it may be unknown where the next request would start
             respond(HttpResponseStatus.BAD_REQUEST, 0);
             return;
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -221,8 +222,8 @@
 
     private void handleObject(HttpObject object) {
         if (object instanceof HttpResponse response) {
-            if (!MessageLength.isUnambiguous(response) || !isDelimited(response)) {
-                rejectResponse("no readable length and no close announced for " + response.status() + ", "
+            if (!isDelimited(response)) {
+                rejectResponse("no length and no close announced for " + response.status() + ", "
                         + response.headers().names());
                 return;
             }
@@ -278,11 +279,16 @@
      * announced that with a Connection: close header and the connection is not reset; an unannounced end cannot be
      * told from a failure.
      */
-    private boolean isDelimited(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response)
-                || response.status().codeClass() != HttpStatusClass.INFORMATIONAL
-                        && response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    private static boolean isDelimited(HttpResponse response) {
+        boolean hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            boolean switchesProtocol = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            return !hasLength && !switchesProtocol; // it ends with its head, and the final response follows
+        }
+        return hasLength
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
+                || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
     }
 
     private void rejectResponse(String reason) {
--- a/src/main/java/deckfall/net/MessageFraming.java
+++ b/src/main/java/deckfall/net/MessageFraming.java
@@ -7,8 +7,8 @@
 import java.util.List;
 
 /**
- * Follows the messages that a decoder reads, and rejects those that it reads although their start line or their chunks
- * are malformed. {@link #accepts} is called before each call of the decoder, {@link #decoded} after it.
+ * Follows the messages that a decoder reads, and rejects those that it reads although their start line, their length
+ * or their chunks are malformed. {@link #accepts} is called before each call of the decoder, {@link #decoded} after it.
  */
 final class MessageFraming {
     private final StartLineFraming startLine;
@@ -41,8 +41,10 @@
 
     private void follow(Object decoded) {
         if (decoded instanceof HttpMessage message) {
-            if (startLine.malformed() && message.decoderResult().isSuccess()) {
-                message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("malformed start line")));
+            if (startLine.malformed()) {
+                reject(message, "malformed start line");
+            } else if (!MessageLength.isUnambiguous(message)) {
+                reject(message, "ambiguous length");
             }
             insideBody = true;
         }
@@ -52,6 +54,12 @@
         }
     }
 
+    private static void reject(HttpMessage message, String reason) {
+        if (message.decoderResult().isSuccess()) {
+            message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
+        }
+    }
+
     /**
      * Whether a message has been received in part. The decoder alone does not show this: it consumes a head line by line,
      * so that no unread bytes are left after a complete line.
--- a/src/test/java/deckfall/net/ResponseGrammarTest.java
+++ b/src/test/java/deckfall/net/ResponseGrammarTest.java
@@ -98,7 +98,10 @@
             OK + "X-A: 1\u0000\r\n" + REST,
             OK + "X-A: 1\r2\r\n" + REST,
             OK + "X-A: 1\r\r\n" + REST,
-            OK + "Content-Length : 5\r\n\r\nwhole");
+            OK + "Content-Length : 5\r\n\r\nwhole",
+            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + OK + REST,
+            "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + OK + REST,
+            "HTTP/1.1 100 Continue\r\n\r\n" + "HTTP/1.1 +200 OK\r\n" + REST);
 
     private static final List<String> READABLE_HEADS = List.of(
             "HTTP/1.1 200 OK\n" + REST,
@@ -113,7 +116,10 @@
             "HTTP/1.9 200 OK\r\n" + CHUNKS,
             OK + "X-A:\r\nX-B: a\tb \u00e9\r\n!#$%&'*+-.^_`|~a1: 1\r\n" + REST,
             OK + "X-A: 1\r\n 2\r\n" + REST,
-            OK + "X-A: 1\r\nX-A: 2\r\n" + REST);
+            OK + "X-A: 1\r\nX-A: 2\r\n" + REST,
+            "HTTP/1.1 100 Continue\r\n\r\n" + OK + REST,
+            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + OK + CHUNKS,
+            "HTTP/1.1 199 x\r\n\r\n" + OK + "Connection: close\r\n\r\nwhole");
 
     @RegisterExtension
     final Closeables closeables = new Closeables();
