Read the counter's totals only where their length is as announced

Change: the length is digits and has to fit; the number grammar is NumberGrammar's, as for requests and responses, in place of an expression of its own. A reply that can't be read ends the connection, and its calls count as may have been added, as before.

The rows of NodeTest.counterRepliesReachTheModule had lengths that did not fit; they fit now, so that the number alone is wrong in each, and 11 rows are new. On the state before it failed at the first length that does not fit ('outcome=OK, total=7.5'). NodeTest passed.

--- a/src/main/java/deckfall/net/CounterClient.java
+++ b/src/main/java/deckfall/net/CounterClient.java
@@ -15,7 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 
 /** Client of the shared counter. Calls are pipelined on one connection and answered in order. */
 final class CounterClient {
@@ -23,8 +22,7 @@
     private static final long RECONNECT_DELAY_MS = 200;
     private static final double MAX_CALL_AGE_MS = 5000; // age of the oldest call at which the connection is closed
     private static final int MAX_LINE_BYTES = 512;
-    private static final Pattern NUMBER_PATTERN =
-            Pattern.compile("\\s*[-+]?(\\d+(\\.\\d*)?|\\.\\d+)([eE][-+]?\\d+)?\\s*");
+    private static final int NO_TOTAL = -1; // the next line is the start of a reply
     private static final String COMMAND_PREFIX = "*4\r\n$6\r\nADDGET\r\n";
 
     private final Node node;
@@ -125,21 +123,9 @@
         return "$" + text.length() + "\r\n" + text + "\r\n";
     }
 
-    /**
-     * Parses a finite decimal number. {@link Double#parseDouble} also accepts forms such as "NaN" and "1f", and a total
-     * that is not finite would corrupt every value computed from it.
-     */
-    private static double parseNumber(String text) {
-        double number = NUMBER_PATTERN.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
-        if (!Double.isFinite(number)) {
-            throw new NumberFormatException(text);
-        }
-        return number;
-    }
-
-    /** Handles replies of the Redis protocol: a line with an error, or a line with a length followed by the total. */
+    /** Handles replies of the Redis protocol: a line with an error, or a line with the length of the total behind it. */
     private final class ReplyHandler extends SimpleChannelInboundHandler<ByteBuf> {
-        private boolean totalFollows;
+        private int totalLength = NO_TOTAL; // of the total that follows
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -155,18 +141,18 @@
                 return; // data after a reply that could not be parsed
             }
             String text = line.toString(StandardCharsets.US_ASCII);
-            if (!totalFollows && text.startsWith("$") && !text.startsWith("$-")) {
-                totalFollows = true;
+            if (totalLength == NO_TOTAL && text.startsWith("$")) {
+                totalLength = NumberGrammar.wholeNumber(text.substring(1));
                 return;
             }
             Call call = pendingCalls.peek(); // if its reply has no number, the call ends with the connection
-            boolean total = totalFollows;
-            totalFollows = false;
+            int length = totalLength;
+            totalLength = NO_TOTAL;
             if (call == null) {
                 ctx.close(); // more replies than calls, so replies cannot be matched to calls
-            } else if (total) {
-                call.complete(Outcome.OK, parseNumber(text));
-            } else if (text.startsWith("-")) {
+            } else if (length == text.length()) {
+                call.complete(Outcome.OK, NumberGrammar.signedDecimal(text.strip()));
+            } else if (length == NO_TOTAL && text.startsWith("-")) {
                 call.complete(Outcome.FULL, 0);
             } else {
                 throw new NumberFormatException(text);
--- a/src/main/java/deckfall/net/NumberGrammar.java
+++ b/src/main/java/deckfall/net/NumberGrammar.java
@@ -65,6 +65,13 @@
         return value;
     }
 
+    /** The same with an optional sign. */
+    static double signedDecimal(String text) {
+        boolean signed = !text.isEmpty() && isSign(text.charAt(0));
+        double value = decimal(signed ? text.substring(1) : text);
+        return signed && text.charAt(0) == '-' ? -value : value;
+    }
+
     private static boolean isDecimal(String text, int start) {
         int wholeEnd = digitsEnd(text, start);
         boolean hasPoint = wholeEnd < text.length() && text.charAt(wholeEnd) == '.';
--- a/src/test/java/deckfall/net/NodeTest.java
+++ b/src/test/java/deckfall/net/NodeTest.java
@@ -80,6 +80,25 @@
     private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
     private static final String REFUSING_ADDRESS = "127.0.0.1:1"; // below the ports that the system assigns
 
+    private static final List<String> UNREADABLE_COUNTER_REPLIES = List.of(
+            "$4\r\nnone",
+            "$3\r\nNaN",
+            "$8\r\nInfinity",
+            "$5\r\n1e999",
+            "$5\r\n0x1p3",
+            "$2\r\n7d",
+            "$0\r\n",
+            "$3\r\n1\u00b2",
+            "$4\r\n7.5",
+            "$2\r\n7.5",
+            "$x\r\n7.5",
+            "$+3\r\n7.5",
+            "$3 \r\n7.5",
+            "$\r\n7.5",
+            "$99999999999\r\n7.5",
+            "$-1",
+            "7.5");
+
     @RegisterExtension
     final Closeables closeables = new Closeables();
 
@@ -1044,7 +1063,7 @@
             };
         });
         closeables.push(node::stop);
-        for (String notANumber : List.of("none", "NaN", "Infinity", "1e999", "0x1p3", "7d")) {
+        for (String reply : UNREADABLE_COUNTER_REPLIES) {
             java.net.Socket s = closeables.closeLater(counter.accept());
             CounterResult refused;
             do { // until the node is connected, as a call that can't be written fails at once
@@ -1062,7 +1081,7 @@
                     new String(
                             s.getInputStream().readNBytes(call.length()), java.nio.charset.StandardCharsets.US_ASCII));
             node.loop.submit(() -> moduleActions[0].addToCounter("u3", 1, 4000)).sync();
-            s.getOutputStream().write(bytes("$3\r\n7.5\r\n-BUSY later\r\n$4\r\n" + notANumber + "\r\n"));
+            s.getOutputStream().write(bytes("$3\r\n7.5\r\n-BUSY later\r\n" + reply + "\r\n"));
             assertEquals(
                     new CounterResult("u1", Outcome.OK, 7.5),
                     results.poll(TestEndpoints.TIMEOUT_MS, TimeUnit.MILLISECONDS));
