Read discovery's responses with the decoder of hosts' responses

A list whose body broke off or was malformed was parsed all the same, as the failure of a part was not looked at; text behind a list and names that stand in an entry twice were ignored; a version below 0 stood for 'none'; an interim response ended the call.

Change: StrictResponseDecoder, whose tables hold for discovery, too; a failure, trailing text, a repeated name and a version that is no whole number end the call, which is tried again; interim responses are passed over. A port is digits.

--- a/src/main/java/deckfall/net/Discovery.java
+++ b/src/main/java/deckfall/net/Discovery.java
@@ -1,5 +1,6 @@
 package deckfall.net;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import deckfall.Gateway.Host;
@@ -16,11 +17,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -60,7 +62,11 @@
     }
 
     private final Node node;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = new ObjectMapper()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
+    // Never gives up a call for memory that others hold: the decoder bounds a head, and the aggregator a list
+    private final MemoryBudget headMemory = new MemoryBudget(Long.MAX_VALUE, 1);
     private final CallTiming timing;
     private InetSocketAddress address;
     private Channel channel;
@@ -103,7 +109,8 @@
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new StrictResponseDecoder(headMemory.openAccount(ch::close)),
+                                        new HttpRequestEncoder(),
                                         new HttpObjectAggregator(MAX_LIST_BYTES),
                                         new CallHandler());
                     }
@@ -168,14 +175,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) throws IOException {
             node.eventLoopLag.observeDelayMs();
-            timeout.cancel(false);
-            if (!response.status().equals(HttpResponseStatus.OK)) {
-                throw new IOException("discovery answered " + response.status());
-            }
-            JsonNode list;
-            try (InputStream in = new ByteBufInputStream(response.content())) {
-                list = json.readTree(in);
+            if (isInterim(response)) {
+                return;
             }
+            timeout.cancel(false);
+            JsonNode list = readList(response);
             boolean full = isFull(list);
             long listVersion = version(list);
             List<Entry> entries = staleListFilter.filter(listVersion, full, parseEntries(list));
@@ -207,6 +211,25 @@
             }
         }
 
+        private static boolean isInterim(FullHttpResponse response) {
+            return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                    && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                    && response.decoderResult().isSuccess();
+        }
+
+        private JsonNode readList(FullHttpResponse response) throws IOException {
+            if (response.decoderResult().isFailure()) {
+                throw new IOException(
+                        "unreadable response", response.decoderResult().cause());
+            }
+            if (!response.status().equals(HttpResponseStatus.OK)) {
+                throw new IOException("discovery answered " + response.status());
+            }
+            try (InputStream in = new ByteBufInputStream(response.content())) {
+                return json.readTree(in);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             timeout.cancel(false);
@@ -247,10 +270,11 @@
      * with an unknown state.
      */
     private static long version(JsonNode list) {
-        if (!list.path("version").isIntegralNumber()) {
+        JsonNode version = list.path("version");
+        if (!version.isIntegralNumber() || !version.canConvertToLong() || version.asLong() < 0) {
             throw new IllegalArgumentException("list without a version");
         }
-        return list.path("version").asLong();
+        return version.asLong();
     }
 
     /**
--- a/src/main/java/deckfall/net/NodeConfig.java
+++ b/src/main/java/deckfall/net/NodeConfig.java
@@ -220,8 +220,8 @@
         if (ip == null) {
             throw new IllegalArgumentException("bad address '" + text + "'");
         }
-        int port = Integer.parseInt(text.substring(colon + 1));
-        if (port < 0 || port > MAX_PORT) {
+        int port = NumberGrammar.wholeNumber(text.substring(colon + 1));
+        if (port > MAX_PORT) {
             throw new IllegalArgumentException("bad port in '" + text + "'");
         }
         try {
--- a/src/test/java/deckfall/net/DiscoveryTest.java
+++ b/src/test/java/deckfall/net/DiscoveryTest.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
@@ -32,12 +33,18 @@
         s.getOutputStream().write(okResponse(m.header("X-Trace-Id")));
     }
 
-    /** Responds to each call with the next of {@code responses}; an empty one closes the connection. */
+    /**
+     * Responds to each call with the next of {@code responses}; an empty one closes the connection, and so does one that
+     * has a head of its own.
+     */
     private Server discovery() throws IOException {
         return closeables.closeLater(new Server((m, s) -> {
             String body = responses.take();
             if (body.isEmpty()) {
                 s.close();
+            } else if (body.startsWith(" HTTP/") || body.startsWith("HTTP/")) {
+                s.getOutputStream().write(TestEndpoints.bytes(body));
+                s.shutdownOutput();
             } else {
                 s.getOutputStream().write(okResponse(body));
             }
@@ -224,4 +231,72 @@
         node.loop.submit(() -> {}).sync();
         assertEquals(200, status(node, "v"));
     }
+
+    /** Guards against a list that is a part of another one, or the coded form of one. */
+    @Test
+    void listsOfUnreadableResponsesAreIgnored() throws Exception {
+        Server host = closeables.closeLater(new Server(DiscoveryTest::respondOk));
+        Server discovery = discovery();
+        String list = hostList(8, false, hostEntry("a", host.address(), DRAINING));
+        String length = "Content-Length: " + list.length() + "\r\n\r\n" + list;
+        String chunk = Integer.toHexString(list.length());
+        List<String> unreadable = List.of(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + length,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunk + "\r\n" + list + "\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + " bytes\r\n" + list + "\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n" + list + "x\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + length,
+                "HTTP/1.1 200 OK\r\nContent-Length: +" + list.length() + "\r\n\r\n" + list,
+                "HTTP/1.1 +200 OK\r\n" + length,
+                "HTTP/1.1\t200 OK\r\n" + length,
+                " HTTP/1.1 200 OK\r\n" + length,
+                "HTTP/2.0 200 OK\r\n" + length,
+                "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + length,
+                list + "{}",
+                list + "x",
+                list.replace("\"full\":false", "\"full\":true,\"full\":false"),
+                list.replace("\"state\":\"draining\"", "\"state\":\"ready\",\"state\":\"draining\""),
+                list.replace(":8,", ":-8,"),
+                list.replace(":8,", ":99999999999999999999,"));
+        responses.addAll(unreadable);
+        Node node = node(discovery, hostList(7, true, hostEntry("a", host.address(), "ready")));
+        for (String response : unreadable) {
+            assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", nextRequestLine(discovery), response);
+        }
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", nextRequestLine(discovery));
+        responses.add(hostList(7, false));
+        assertEquals(200, status(node, "one"));
+    }
+
+    @Test
+    void listsInEveryFormOfResponseAreRead() throws Exception {
+        String list = hostList(8, false);
+        String length = "Content-Length: " + list.length() + "\r\n\r\n" + list;
+        String chunk = Integer.toHexString(list.length()) + ";a=\"b\"\r\n" + list + "\r\n0\r\nX-T: 1\r\n\r\n";
+        List<String> readable = List.of(
+                "HTTP/1.1 200 OK\r\n" + length,
+                "HTTP/1.0 200\nContent-Length: 000" + list.length() + "\n\n" + list,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n"
+                        + length,
+                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list,
+                "HTTP/1.0 200 OK\r\n\r\n" + list);
+        for (String response : readable) {
+            assertListRead(response);
+        }
+    }
+
+    /** Starts a node whose first call gets this response, and waits until the next call is for the changes behind it. */
+    private void assertListRead(String response) throws Exception {
+        Server discovery = closeables.closeLater(new Server((m, s) -> {
+            if (m.startLine().contains("from=7")) {
+                s.getOutputStream().write(TestEndpoints.bytes(response));
+                s.shutdownOutput();
+            }
+        }));
+        node(discovery, hostList(7, true, hostEntry("a", "127.0.0.1:1", "ready")));
+        assertEquals("GET /v1/servers?from=7&hold_ms=0 HTTP/1.1", nextRequestLine(discovery), response);
+        String next = nextRequestLine(discovery);
+        assertTrue(next.startsWith("GET /v1/servers?from=8&"), response + " -> " + next);
+    }
 }
