Check what operators and sibling processes send, and bound the numbers of a set

An operator's line was stripped of control characters at its ends, so that a NUL and 'quiesce' drained a gateway. A file in the processes' folder whose name has no process id hid the sent requests of all other processes, so that an id could run twice. A status file with negative, fractional or missing numbers, or text behind it, was counted.

Change: only blanks are stripped from a line; SiblingFileNames is the one form of the files' names; status files are read without the leniences of the JSON reader; a set is in the range of its fields in the messages between gateways.

--- a/src/main/java/deckfall/net/OperatorServer.java
+++ b/src/main/java/deckfall/net/OperatorServer.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /**
  * Serves the operator's address: one command line per connection, one response. It has an event loop of its own, so
@@ -28,6 +29,7 @@
     private static final int MAX_CONNECTIONS = 16; // beyond this the oldest connection is closed
     private static final long LINE_TIMEOUT_MS = 10_000; // for a caller to send its complete line
     private static final int BACKLOG = 64;
+    private static final Pattern BLANKS_AT_ENDS = Pattern.compile("^[ \t]+|[ \t]+$");
     private static final String ACK = "ACK";
     private static final String NAK_PREFIX = "NAK ";
     private static final String END_OF_METRICS = "--";
@@ -110,6 +112,11 @@
         }
     }
 
+    /** Removes spaces and tabs at both ends, and no other characters. */
+    private static String withoutBlanks(String line) {
+        return BLANKS_AT_ENDS.matcher(line).replaceAll("");
+    }
+
     /** Reads the command of one connection and responds to it. */
     private final class ConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private Future<?> lineTimeout;
@@ -135,8 +142,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            respondAndClose(
-                    ctx, execute(line.toString(StandardCharsets.US_ASCII).trim()));
+            respondAndClose(ctx, execute(withoutBlanks(line.toString(StandardCharsets.US_ASCII))));
         }
 
         private void respondAndClose(ChannelHandlerContext ctx, String response) {
--- a/src/main/java/deckfall/net/RequestReader.java
+++ b/src/main/java/deckfall/net/RequestReader.java
@@ -36,6 +36,7 @@
     /** The quota header: the units of the request, and the set of gateways that may receive the customer. */
     private record Quota(double units, int spread, int first) {
         private static final int MISSING = -1;
+        private static final int MAX_GATEWAYS = 0xffff; // the range of these fields in messages between gateways
 
         /**
          * Parses the header; missing values are negative. Throws {@link NumberFormatException} if a number is malformed
@@ -66,7 +67,12 @@
         }
 
         boolean valid() {
-            return units > 0 && units < Integer.MAX_VALUE && spread > 0 && first >= 0;
+            return units > 0
+                    && units < Integer.MAX_VALUE
+                    && spread > 0
+                    && spread <= MAX_GATEWAYS
+                    && first >= 0
+                    && first <= MAX_GATEWAYS;
         }
     }
 
--- a/src/main/java/deckfall/net/SentRequestsFile.java
+++ b/src/main/java/deckfall/net/SentRequestsFile.java
@@ -10,6 +10,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * The file in which a process of a gateway writes the keys of requests that it has sent, for the other processes while
@@ -20,7 +21,6 @@
 final class SentRequestsFile {
     static final int SLOTS = 4096;
     private static final int SLOT_BYTES = Long.BYTES + Double.BYTES;
-    private static final String PREFIX = "gateway-";
     private static final String SUFFIX = ".sent";
 
     private final Path folder;
@@ -34,7 +34,7 @@
 
     SentRequestsFile(Path folder, long pid) {
         this.folder = folder;
-        this.own = folder.resolve(PREFIX + pid + SUFFIX);
+        this.own = folder.resolve(SiblingFileNames.of(pid, SUFFIX));
         open(); // so that the other processes find it before the first request is sent
     }
 
@@ -73,21 +73,20 @@
     /** Looks for the files of other processes, and deletes those whose process has ended and whose keys are all old. */
     void findSiblingFiles(double oldestMs) {
         List<Path> found = new ArrayList<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, PREFIX + "*" + SUFFIX)) {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, SiblingFileNames.pattern(SUFFIX))) {
             for (Path file : files) {
-                if (!file.equals(own) && !deletedAsOld(file, oldestMs)) {
+                OptionalLong pid = SiblingFileNames.pid(file, SUFFIX);
+                if (pid.isPresent() && !file.equals(own) && !deletedAsOld(file, pid.getAsLong(), oldestMs)) {
                     found.add(file);
                 }
             }
             siblings = List.copyOf(found);
-        } catch (IOException | DirectoryIteratorException | NumberFormatException e) {
+        } catch (IOException | DirectoryIteratorException e) {
             logFailure(e);
         }
     }
 
-    private static boolean deletedAsOld(Path file, double oldestMs) throws IOException {
-        String name = file.getFileName().toString();
-        long pid = Long.parseLong(name.substring(PREFIX.length(), name.length() - SUFFIX.length()));
+    private static boolean deletedAsOld(Path file, long pid, double oldestMs) throws IOException {
         if (ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false)) {
             return false;
         }
--- a/src/main/java/deckfall/net/SiblingFiles.java
+++ b/src/main/java/deckfall/net/SiblingFiles.java
@@ -1,6 +1,9 @@
 package deckfall.net;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import deckfall.Gateway.CustomerSnapshot;
 import java.io.IOException;
 import java.nio.file.DirectoryIteratorException;
@@ -21,8 +24,8 @@
     static final long HEARTBEAT_MS = 400;
     private static final double FRESH_WINDOW_MS = 1500; // a process that gets little CPU time writes late
     private static final double MAX_SILENCE_MS = 30_000; // how long a live process may write nothing
-    private static final String PREFIX = "gateway-";
     private static final String SUFFIX = ".json";
+    private static final String PART_SUFFIX = ".part";
 
     /**
      * The status of a process and its connections at a time of the machine's monotonic clock; {@code memory}, the state
@@ -32,7 +35,11 @@
 
     private final Path folder;
     private final long pid;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .build();
     private Map<Path, Status> lastRead = Map.of();
 
     SiblingFiles(Path folder, long pid) {
@@ -42,7 +49,7 @@
 
     /** Replaces the file of this process atomically, so that readers never see a partial file. */
     void write(Status status) throws IOException {
-        Path partFile = folder.resolve(PREFIX + pid + ".part");
+        Path partFile = folder.resolve(SiblingFileNames.of(pid, PART_SUFFIX));
         Files.write(partFile, json.writeValueAsBytes(status));
         Files.move(partFile, file(), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
@@ -61,7 +68,7 @@
 
     private void readAll() throws IOException {
         Map<Path, Status> statuses = new LinkedHashMap<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, PREFIX + "*" + SUFFIX)) {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, SiblingFileNames.pattern(SUFFIX))) {
             for (Path file : files) {
                 Status status = file.equals(file()) ? null : read(file);
                 if (status != null) {
@@ -89,13 +96,21 @@
     private Status read(Path file) {
         try {
             Status status = json.readValue(file.toFile(), Status.class);
-            return status == null || status.memory() == null ? null : status;
+            return status == null || !isPlausible(status, file) ? null : status;
         } catch (IOException e) {
             // damaged or unreadable if it exists, else deleted meanwhile
             return Files.exists(file) ? lastRead.get(file) : null;
         }
     }
 
+    private static boolean isPlausible(Status status, Path file) {
+        return SiblingFileNames.pid(file, SUFFIX).isPresent()
+                && status.pid() > 0
+                && status.clients() >= 0
+                && status.hosts() >= 0
+                && status.memory() != null;
+    }
+
     /** Deletes the file of this process. */
     void remove() {
         try {
@@ -106,6 +121,6 @@
     }
 
     private Path file() {
-        return folder.resolve(PREFIX + pid + SUFFIX);
+        return folder.resolve(SiblingFileNames.of(pid, SUFFIX));
     }
 }
--- a/src/test/java/deckfall/net/OperatorServerTest.java
+++ b/src/test/java/deckfall/net/OperatorServerTest.java
@@ -75,14 +75,25 @@
         notReadyReason = "draining";
         assertEquals("NAK draining\n", call("health\r\n"));
         assertEquals("a 1\nb 2\n--\n", call("counters\n"));
-        assertEquals("ACK\n", call("quiesce\n"));
+        assertEquals("ACK\n", call(" \t quiesce \t\r\n"));
         assertEquals("ACK\n", call("resume\n"));
         assertEquals(List.of("quiesce", "resume"), commandsReceived);
     }
 
     @Test
     void unknownCommandsAreRejectedWithAReason() throws Exception {
-        for (String wrong : List.of("reboot\n", "\n", "HEALTH\n", "x".repeat(5000) + "\n")) {
+        for (String wrong : List.of(
+                "reboot\n",
+                "\n",
+                "HEALTH\n",
+                "health quiesce\n",
+                "quiesce\u0000\n",
+                "\u0000quiesce\n",
+                "\u000bresume\n",
+                "resume\u001f\n",
+                "quiesce\r\r\n",
+                "quiesce\u00a0\n",
+                "x".repeat(5000) + "\n")) {
             String response = call(wrong);
             assertTrue(response.matches("NAK \\S.*\\n"), response);
         }
--- a/src/test/java/deckfall/net/RequestGrammarTest.java
+++ b/src/test/java/deckfall/net/RequestGrammarTest.java
@@ -166,6 +166,10 @@
             "X-Quota: units=1,spread=0,first=0",
             "X-Quota: units=1,spread=1.0,first=0",
             "X-Quota: units=1,spread=,first=0",
+            "X-Quota: units=1,spread=65536,first=0",
+            "X-Quota: units=1,spread=99999999999,first=0",
+            "X-Quota: units=1,spread=1,first=65536",
+            "X-Quota: units=1,spread=1,first=2147483647",
             "X-Quota: units=1,spread=1,first=+0",
             "X-Quota: units=1,spread=1,first=-1",
             "X-Quota: units=1,spread=1,first=-0",
@@ -191,6 +195,7 @@
             "X-Quota: first=0,units=1,spread=1",
             "X-Quota: units=1, spread=1 ,\tfirst=0",
             "X-Quota: units=1,spread=1,first=0,later=x",
+            "X-Quota: units=1,spread=65535,first=65535",
             "X-Quota: units=1,spread=1\r\nX-Quota: first=0");
 
     private static final List<String> IMPROPER_LINES = List.of(
--- a/src/test/java/deckfall/net/SiblingFilesTest.java
+++ b/src/test/java/deckfall/net/SiblingFilesTest.java
@@ -1,6 +1,8 @@
 package deckfall.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import deckfall.Gateway.CustomerSnapshot;
 import deckfall.net.SiblingFiles.Status;
@@ -40,6 +42,15 @@
         Files.writeString(folder.resolve("gateway-4.json"), "null");
         Files.writeString(folder.resolve("gateway-5.json"), "{\"pid\": 5, \"atMs\": 1e12, \"serving\": true}");
         Files.writeString(folder.resolve("gateway-6.part"), "{}");
+        String whole = "{\"pid\":%s,\"atMs\":1e12,\"serving\":true,\"clients\":%s,\"hosts\":%s,\"memory\":[]}%s";
+        Files.writeString(folder.resolve("gateway-8.json"), whole.formatted("8", "-5", "6", ""));
+        Files.writeString(folder.resolve("gateway-9.json"), whole.formatted("9", "5", "-6", ""));
+        Files.writeString(folder.resolve("gateway-10.json"), whole.formatted("-10", "5", "6", ""));
+        Files.writeString(folder.resolve("gateway-12.json"), whole.formatted("12", "5", "6", "{}"));
+        Files.writeString(folder.resolve("gateway-13.json"), whole.formatted("13", "5.5", "6", ""));
+        Files.writeString(folder.resolve("gateway-14.json"), whole.formatted("14", "\"5\"", "6", ""));
+        Files.writeString(folder.resolve("gateway-15.json"), whole.formatted("15", "5", "null", ""));
+        Files.writeString(folder.resolve("gateway-x.json"), whole.formatted("16", "5", "6", ""));
         Files.createDirectory(folder.resolve("gateway-7.json"));
         assertEquals(List.of(), new SiblingFiles(folder, 2).presentSiblings(NOW));
     }
@@ -73,4 +84,19 @@
         assertEquals(List.of(status), two.presentSiblings(NOW + 800));
         assertEquals(List.of(), two.presentSiblings(NOW + 60_000));
     }
+
+    /** Guards against ids that run twice, as a file of another name hid those of all other processes. */
+    @Test
+    void filesOfOtherNamesHideNoSentRequests() throws Exception {
+        long alive = ProcessHandle.current().pid();
+        SentRequestsFile own = new SentRequestsFile(folder, alive + 1);
+        SentRequestsFile sibling = new SentRequestsFile(folder, alive);
+        sibling.write(42, NOW);
+        for (String name : List.of("x", "+1", "-1", "1.0", "", "99999999999999999999")) {
+            Files.writeString(folder.resolve("gateway-" + name + ".sent"), "no keys");
+        }
+        own.findSiblingFiles(NOW - 1);
+        assertTrue(own.siblingsContain(42, NOW - 1));
+        assertFalse(own.siblingsContain(43, NOW - 1));
+    }
 }
