Ignore an expectation of HTTP/1.0, and keep what ends a response with the grammar of lengths

A request of HTTP/1.0 with Expect: 100-continue got 417, where RFC 9110, section 10.1.1, wants the expectation ignored. RequestGrammarTest failed on the state before, and passes.

Without a change of behaviour: HostConnection.isDelimited is MessageLength's, next to the other half of the same grammar, and the set-up of a node with one host stands once in the tests.

--- a/src/main/java/deckfall/net/ClientConnection.java
+++ b/src/main/java/deckfall/net/ClientConnection.java
@@ -568,7 +568,7 @@
         incoming.onAcceptsMore(this::updateAutoRead);
         if (incoming.tooLong()) {
             respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
-        } else if (head.headers().contains(HttpHeaderNames.EXPECT)) {
+        } else if (!http10 && head.headers().contains(HttpHeaderNames.EXPECT)) {
             handleExpect(head);
         }
     }
--- a/src/main/java/deckfall/net/HostConnection.java
+++ b/src/main/java/deckfall/net/HostConnection.java
@@ -14,12 +14,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -222,7 +220,7 @@
 
     private void handleObject(HttpObject object) {
         if (object instanceof HttpResponse response) {
-            if (!isDelimited(response)) {
+            if (!MessageLength.isDelimited(response)) {
                 rejectResponse("no length and no close announced for " + response.status() + ", "
                         + response.headers().names());
                 return;
@@ -274,23 +272,6 @@
         }
     }
 
-    /**
-     * Whether the end of the response can be recognized. The end of the connection marks it only if the host has
-     * announced that with a Connection: close header and the connection is not reset; an unannounced end cannot be
-     * told from a failure.
-     */
-    private static boolean isDelimited(HttpResponse response) {
-        boolean hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            boolean switchesProtocol = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-            return !hasLength && !switchesProtocol; // it ends with its head, and the final response follows
-        }
-        return hasLength
-                || response.status().equals(HttpResponseStatus.NO_CONTENT)
-                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
-                || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-    }
-
     private void rejectResponse(String reason) {
         node.tally.note(Tally.Count.UNREADABLE, traceId(), pool.address.toString(), reason);
         connectionLost();
--- a/src/main/java/deckfall/net/MessageLength.java
+++ b/src/main/java/deckfall/net/MessageLength.java
@@ -4,6 +4,10 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Iterator;
 
@@ -30,4 +34,21 @@
                 && !codings.hasNext()
                 && message.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
     }
+
+    /**
+     * Whether the end of the response can be recognized. The end of the connection marks it only if the host has
+     * announced that with a Connection: close header and the connection is not reset; an unannounced end cannot be
+     * told from a failure.
+     */
+    static boolean isDelimited(HttpResponse response) {
+        boolean hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            boolean switchesProtocol = response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+            return !hasLength && !switchesProtocol; // it ends with its head, and the final response follows
+        }
+        return hasLength
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
+                || response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
 }
--- a/src/test/java/deckfall/net/ChunkGrammarTest.java
+++ b/src/test/java/deckfall/net/ChunkGrammarTest.java
@@ -1,17 +1,13 @@
 package deckfall.net;
 
 import static deckfall.net.TestEndpoints.bytes;
-import static deckfall.net.TestEndpoints.hostEntry;
-import static deckfall.net.TestEndpoints.hostList;
 import static deckfall.net.TestEndpoints.okResponse;
 import static deckfall.net.TestEndpoints.orderRequest;
 import static deckfall.net.TestEndpoints.viewRequest;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import deckfall.net.TestEndpoints.Client;
-import deckfall.net.TestEndpoints.DiscoveryServer;
 import deckfall.net.TestEndpoints.Message;
-import deckfall.net.TestEndpoints.Server;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -108,17 +104,8 @@
 
     private final Set<String> received = ConcurrentHashMap.newKeySet(); // the ids that reached the host
 
-    private Node nodeWith(TestEndpoints.RequestHandler handler) throws IOException {
-        Server host = closeables.closeLater(new Server(handler));
-        DiscoveryServer discovery =
-                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h", host.address(), "ready"))));
-        Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"));
-        closeables.push(node::stop);
-        return node;
-    }
-
     private Node nodeWithEcho() throws IOException {
-        return nodeWith((request, socket) -> {
+        return TestEndpoints.nodeWithHost(closeables, (request, socket) -> {
             received.add(request.header("X-Trace-Id"));
             socket.getOutputStream().write(okResponse(request.text()));
         });
@@ -126,7 +113,7 @@
 
     /** A host that answers the first attempt of each request with the chunks of its id, and further ones properly. */
     private Node nodeWithResponses(List<String> chunks) throws IOException {
-        return nodeWith((request, socket) -> {
+        return TestEndpoints.nodeWithHost(closeables, (request, socket) -> {
             String id = request.header("X-Trace-Id");
             if (!received.add(id)) {
                 socket.getOutputStream().write(okResponse("second attempt"));
--- a/src/test/java/deckfall/net/RequestGrammarTest.java
+++ b/src/test/java/deckfall/net/RequestGrammarTest.java
@@ -470,6 +470,14 @@
         assertEquals(400, statusOf("GET /healthz HTTP/1.0\r\nHost: h h\r\n\r\n"));
     }
 
+    /** An expectation means nothing in HTTP/1.0 (RFC 9110, section 10.1.1), and needs no answer where no body follows. */
+    @Test
+    void expectationIsIgnoredWhereItMeansNothing() throws Exception {
+        assertServed(List.of(
+                LINE.replace("HTTP/1.1", "HTTP/1.0") + FIELDS + "Expect: 100-continue\r\n\r\n",
+                LINE + FIELDS + "EXPECT:100-Continue\r\n\r\n"));
+    }
+
     /** Guards against two values of which the gateway uses one and another recipient the other. */
     @Test
     void repeatedFieldsReachNoHost() throws Exception {
--- a/src/test/java/deckfall/net/ResponseGrammarTest.java
+++ b/src/test/java/deckfall/net/ResponseGrammarTest.java
@@ -1,16 +1,12 @@
 package deckfall.net;
 
 import static deckfall.net.TestEndpoints.bytes;
-import static deckfall.net.TestEndpoints.hostEntry;
-import static deckfall.net.TestEndpoints.hostList;
 import static deckfall.net.TestEndpoints.okResponse;
 import static deckfall.net.TestEndpoints.viewRequest;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import deckfall.net.TestEndpoints.Client;
-import deckfall.net.TestEndpoints.DiscoveryServer;
 import deckfall.net.TestEndpoints.Message;
-import deckfall.net.TestEndpoints.Server;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -127,12 +123,7 @@
     private final ConcurrentHashMap<String, Integer> attempts = new ConcurrentHashMap<>();
 
     private Client clientOf(TestEndpoints.RequestHandler host) throws IOException {
-        Server server = closeables.closeLater(new Server(host));
-        DiscoveryServer discovery = closeables.closeLater(
-                new DiscoveryServer(hostList(1, true, hostEntry("h", server.address(), "ready"))));
-        Node node = TestEndpoints.node(TestEndpoints.config(discovery.server.address(), "127.0.0.1:0"));
-        closeables.push(node::stop);
-        return closeables.closeLater(new Client(node));
+        return closeables.closeLater(new Client(TestEndpoints.nodeWithHost(closeables, host)));
     }
 
     /** The first attempt of each request gets its response of the table, the next ones a proper one. */
--- a/src/test/java/deckfall/net/TestEndpoints.java
+++ b/src/test/java/deckfall/net/TestEndpoints.java
@@ -284,4 +284,14 @@
         node.start();
         return node;
     }
+
+    /** A node whose only host handles requests like this. Both are closed at the end of the test. */
+    static Node nodeWithHost(Closeables closeables, RequestHandler handler) throws IOException {
+        Server host = closeables.closeLater(new Server(handler));
+        DiscoveryServer discovery =
+                closeables.closeLater(new DiscoveryServer(hostList(1, true, hostEntry("h", host.address(), "ready"))));
+        Node node = node(config(discovery.server.address(), "127.0.0.1:0"));
+        closeables.push(node::stop);
+        return node;
+    }
 }
