--- a/src/main/java/deckfall/net/NumberGrammar.java
+++ b/src/main/java/deckfall/net/NumberGrammar.java
@@ -58,7 +58,7 @@
      * anything else, and if the value is not finite.
      */
     static double decimal(String text) {
-        double value = isDecimal(text, 0) ? Double.parseDouble(text) : Double.NaN;
+        double value = isDecimal(text) ? Double.parseDouble(text) : Double.NaN;
         if (!Double.isFinite(value)) {
             throw new NumberFormatException("not a decimal number: " + text);
         }
@@ -72,11 +72,11 @@
         return signed && text.charAt(0) == '-' ? -value : value;
     }
 
-    private static boolean isDecimal(String text, int start) {
-        int wholeEnd = digitsEnd(text, start);
+    private static boolean isDecimal(String text) {
+        int wholeEnd = digitsEnd(text, 0);
         boolean hasPoint = wholeEnd < text.length() && text.charAt(wholeEnd) == '.';
         int end = hasPoint ? digitsEnd(text, wholeEnd + 1) : wholeEnd;
-        boolean hasDigits = end - start > (hasPoint ? 1 : 0);
+        boolean hasDigits = end > (hasPoint ? 1 : 0);
         return hasDigits && (end == text.length() || isExponent(text, end));
     }
 
--- a/src/main/java/deckfall/net/StartLineFraming.java
+++ b/src/main/java/deckfall/net/StartLineFraming.java
@@ -8,6 +8,8 @@
  * Empty lines before the line are allowed, and a line feed alone ends it as well.
  */
 final class StartLineFraming {
+    private static final int REQUEST_WORDS = 3;
+    private static final int RESPONSE_WORDS = 2;
     private static final String HTTP_1 = "HTTP/1.";
     private static final String HIGHEST_VERSION = "HTTP/1.1";
 
@@ -35,12 +37,12 @@
 
     /** Of a method, a target and a version. */
     static StartLineFraming ofRequest() {
-        return new StartLineFraming(3, false);
+        return new StartLineFraming(REQUEST_WORDS, false);
     }
 
     /** Of a version, a code and maybe a text. */
     static StartLineFraming ofResponse() {
-        return new StartLineFraming(2, true);
+        return new StartLineFraming(RESPONSE_WORDS, true);
     }
 
     /**
@@ -48,13 +50,12 @@
      * version (RFC 9110, section 2.5). Throws {@link IllegalArgumentException} if it is not of HTTP/1.
      */
     static String supportedVersion(String version) {
-        char minor = version.charAt(version.length() - 1);
-        boolean known =
-                version.startsWith(HTTP_1) && version.length() == HTTP_1.length() + 1 && minor >= '0' && minor <= '9';
-        if (!known) {
+        boolean known = version.startsWith(HTTP_1) && version.length() == HTTP_1.length() + 1;
+        String minor = known ? version.substring(HTTP_1.length()) : "";
+        if (!NumberGrammar.isWholeNumber(minor)) {
             throw new IllegalArgumentException("not a version of HTTP/1");
         }
-        return minor == '0' ? version : HIGHEST_VERSION;
+        return minor.equals("0") ? version : HIGHEST_VERSION;
     }
 
     /** Reads what the decoder has read of a head. */
