--- a/src/main/java/deckfall/net/StartLineFraming.java
+++ b/src/main/java/deckfall/net/StartLineFraming.java
@@ -1,13 +1,14 @@
 package deckfall.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.util.ByteProcessor;
 
 /**
  * Checks how the words of start lines are set apart (RFC 9112, sections 3 and 4): by a single space each. The decoder
  * also takes other whitespace, and control characters before the line, so that another recipient may find other words.
  * Empty lines before the line are allowed, and a line feed alone ends it as well.
  */
-final class StartLineFraming {
+final class StartLineFraming implements ByteProcessor {
     private static final int REQUEST_WORDS = 3;
     private static final int RESPONSE_WORDS = 2;
     private static final String HTTP_1 = "HTTP/1.";
@@ -50,6 +51,9 @@
      * version (RFC 9110, section 2.5). Throws {@link IllegalArgumentException} if it is not of HTTP/1.
      */
     static String supportedVersion(String version) {
+        if (version.equals(HIGHEST_VERSION)) {
+            return version;
+        }
         boolean known = version.startsWith(HTTP_1) && version.length() == HTTP_1.length() + 1;
         String minor = known ? version.substring(HTTP_1.length()) : "";
         if (!NumberGrammar.isWholeNumber(minor)) {
@@ -60,11 +64,18 @@
 
     /** Reads what the decoder has read of a head. */
     void read(ByteBuf in, int startIndex) {
-        for (int i = startIndex; i < in.readerIndex() && !ended(); i++) {
-            position = after(in.getUnsignedByte(i));
+        if (!ended()) {
+            in.forEachByte(startIndex, in.readerIndex() - startIndex, this);
         }
     }
 
+    /** Reads one byte. Returns whether the next one is of interest. */
+    @Override
+    public boolean process(byte value) {
+        position = after(Byte.toUnsignedInt(value));
+        return !ended();
+    }
+
     private boolean ended() {
         return position == Position.BEHIND || position == Position.MALFORMED;
     }
