--- a/src/test/java/deckfall/net/OperatorServerTest.java
+++ b/src/test/java/deckfall/net/OperatorServerTest.java
@@ -75,9 +75,10 @@
         notReadyReason = "draining";
         assertEquals("NAK draining\n", call("health\r\n"));
         assertEquals("a 1\nb 2\n--\n", call("counters\n"));
+        assertEquals("ACK\n", call("quiesce\n"));
         assertEquals("ACK\n", call(" \t quiesce \t\r\n"));
         assertEquals("ACK\n", call("resume\n"));
-        assertEquals(List.of("quiesce", "resume"), commandsReceived);
+        assertEquals(List.of("quiesce", "quiesce", "resume"), commandsReceived);
     }
 
     @Test
